--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,95 @@
+//! Time in milliseconds.
+
+use std::{
+    ops::{Add, Sub},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// A point in time or a span of time, in milliseconds.
+///
+/// Points count from the start of the [`Clock`] that gave them, so points of
+/// two processes cannot be compared.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// The span from `earlier` to this point, zero where `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The span as the standard library's type.
+    #[must_use]
+    pub const fn to_duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        Self(self.0.saturating_sub(rhs.0))
+    }
+}
+
+/// Reads the time of one process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// A clock that starts at zero now.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Milliseconds since the clock was made.
+    #[must_use]
+    pub fn now(&self) -> Millis {
+        from_duration(self.origin.elapsed())
+    }
+
+    /// The standard library's instant at `point`.
+    #[must_use]
+    pub fn instant(&self, point: Millis) -> Instant {
+        self.origin + point.to_duration()
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Milliseconds since the Unix epoch by the host's wall clock.
+#[must_use]
+pub fn wall() -> Millis {
+    from_duration(
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default(),
+    )
+}
+
+fn from_duration(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/src/ident.rs
@@ -0,0 +1,61 @@
+//! Identities of services, nodes and their incarnations.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
+
+use crate::clock;
+
+const RANDOM_BITS: u32 = 16;
+
+/// Identity of a service, derived from its name.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ServiceId(pub u64);
+
+/// Identity of a balancer or an agent, derived from its name.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct NodeId(pub u64);
+
+/// One run of a node's process; a later start compares greater.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Incarnation(pub u64);
+
+impl ServiceId {
+    /// The identity that belongs to a service's name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(xxh3::xxh3_64_with_seed(name.as_bytes(), 1))
+    }
+}
+
+impl NodeId {
+    /// The identity that belongs to a node's name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        Self(xxh3::xxh3_64_with_seed(name.as_bytes(), 2))
+    }
+}
+
+impl Incarnation {
+    /// An incarnation that starts now: wall clock in milliseconds, then 16 random bits.
+    #[must_use]
+    pub fn start() -> Self {
+        let random = u64::from(rand::random::<u16>());
+        Self((clock::wall().0 << RANDOM_BITS) | random)
+    }
+}
+
+impl fmt::Display for ServiceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for NodeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,115 @@
+//! Bucket tables: from a flow's hash to an ordered chain of candidates.
+//!
+//! Each bucket ranks the candidates by weighted rendezvous hashing (Schindelhauer
+//! and Schomaker, "Weighted distributed hash tables", 2005), so a change of one
+//! candidate moves only the buckets that it gains or loses.
+
+use xxhash_rust::xxh3;
+
+use crate::{header, ident};
+
+/// Buckets of one service's table.
+pub const BUCKETS: usize = 1_024;
+
+/// Candidates of one bucket.
+pub const CHAIN_LEN: usize = 3;
+
+const NONE: u16 = u16::MAX;
+const MANTISSA_BITS: u32 = 53;
+
+/// An upstream that takes part in a table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// The agent.
+    pub hop: header::Hop,
+    /// Share of the buckets, relative to the other candidates.
+    pub weight: f64,
+}
+
+/// The chains of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    candidates: Vec<Candidate>,
+    buckets: Vec<[u16; CHAIN_LEN]>,
+}
+
+impl Table {
+    /// Ranks `candidates`, sorted by node, for each bucket of a service.
+    ///
+    /// Candidates without weight take no part.
+    #[must_use]
+    pub fn build(service: ident::ServiceId, candidates: &[Candidate]) -> Self {
+        let candidates: Vec<_> = candidates
+            .iter()
+            .copied()
+            .filter(|c| c.weight > 0.0)
+            .collect();
+        let buckets = if candidates.is_empty() {
+            Vec::new()
+        } else {
+            (0..BUCKETS)
+                .map(|bucket| rank(service, bucket, &candidates))
+                .collect()
+        };
+        Self {
+            candidates,
+            buckets,
+        }
+    }
+
+    /// The candidates that take part, sorted by node.
+    #[must_use]
+    pub fn candidates(&self) -> &[Candidate] {
+        &self.candidates
+    }
+
+    /// The ordered candidates for a flow's hash; empty where there are none.
+    pub fn chain(&self, hash: u64) -> impl Iterator<Item = &header::Hop> {
+        self.buckets
+            .get(bucket(hash))
+            .into_iter()
+            .flatten()
+            .filter(|index| **index != NONE)
+            .map(|index| &self.candidates[usize::from(*index)].hop)
+    }
+}
+
+/// The bucket of a flow's hash.
+#[must_use]
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "the remainder is below the number of buckets"
+)]
+pub const fn bucket(hash: u64) -> usize {
+    (hash % BUCKETS as u64) as usize
+}
+
+fn rank(service: ident::ServiceId, bucket: usize, candidates: &[Candidate]) -> [u16; CHAIN_LEN] {
+    let mut best = [(f64::NEG_INFINITY, NONE); CHAIN_LEN];
+    for (index, candidate) in candidates.iter().enumerate().take(usize::from(NONE)) {
+        let entry = (
+            score(service, bucket, candidate),
+            u16::try_from(index).unwrap_or(NONE),
+        );
+        insert(&mut best, entry);
+    }
+    best.map(|(_, index)| index)
+}
+
+fn insert(best: &mut [(f64, u16); CHAIN_LEN], entry: (f64, u16)) {
+    let Some(place) = best.iter().position(|other| entry.0 > other.0) else {
+        return;
+    };
+    best[place..].rotate_right(1);
+    best[place] = entry;
+}
+
+#[expect(clippy::cast_precision_loss, reason = "53 bits fit the mantissa")]
+fn score(service: ident::ServiceId, bucket: usize, candidate: &Candidate) -> f64 {
+    let mut key = [0; 16];
+    key[..8].copy_from_slice(&candidate.hop.node.0.to_le_bytes());
+    key[8..].copy_from_slice(&(bucket as u64).to_le_bytes());
+    let bits = xxh3::xxh3_64_with_seed(&key, service.0) >> (u64::BITS - MANTISSA_BITS);
+    let uniform = (bits as f64 + 0.5) / (1_u64 << MANTISSA_BITS) as f64;
+    -candidate.weight / uniform.ln()
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around cassiacross, for tests, demo and measurements.
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,33 @@
+//! Settings of the daemons.
+
+use cassiacross::settings;
+use yare::parameterized;
+
+const BALANCER: &str = r#"{
+    "name": "balancer-1", "domain": "valley-a",
+    "packets": "127.0.0.1:0", "control": "127.0.0.1:0", "http": "127.0.0.1:0",
+    "seeds": ["127.0.0.1:7000"], "platform": "http://127.0.0.1:9000/",
+    "fleet_key": "0123456789abcdef", "operator_token": "0123456789abcdef"
+}"#;
+
+#[test]
+fn balancer_whole() {
+    let settings = settings::balancer(BALANCER).expect("settings are whole");
+    assert_eq!(settings.common.name, "balancer-1");
+    assert_eq!(settings.common.period.0, 1_000);
+    assert_eq!(settings.platform, "http://127.0.0.1:9000");
+}
+
+#[parameterized(
+    unknown_field = { r#""packets""#, r#""packet""#, &["packets ", "packet is not"] },
+    short_key = { "0123456789abcdef", "short", &["fleet_key must", "operator_token must"] },
+    bad_seed = { "127.0.0.1:7000", "host:7000", &["seeds[0] must"] },
+    two_faults = { "127.0.0.1:0", "host", &["packets must", "control must", "http must"] },
+)]
+fn balancer_faults(from: &str, to: &str, expected: &[&str]) {
+    let error = settings::balancer(&BALANCER.replace(from, to)).expect_err("settings have faults");
+    let message = error.to_string();
+    for part in expected {
+        assert!(message.contains(part), "{part:?} is not in {message:?}");
+    }
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,3 @@
+//! Developer commands.
+
+fn main() {}
