--- a/src/settings.rs
+++ b/src/settings.rs
@@ -335,5 +335,6 @@
 }
 
 fn list(faults: &[Fault]) -> String {
-    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+    let lines: Vec<_> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
+    lines.concat()
 }
--- /dev/null
+++ b/tests/table.rs
@@ -0,0 +1,68 @@
+//! Bucket tables.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cassiacross::{header, ident, table};
+use yare::parameterized;
+
+const SERVICE: ident::ServiceId = ident::ServiceId(7);
+
+fn candidates(weights: &[f64]) -> Vec<table::Candidate> {
+    let mut candidates: Vec<_> = weights
+        .iter()
+        .zip(1..)
+        .map(|(weight, port)| table::Candidate {
+            hop: header::Hop {
+                node: ident::NodeId::of(&port.to_string()),
+                incarnation: ident::Incarnation(1),
+                addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+            },
+            weight: *weight,
+        })
+        .collect();
+    candidates.sort_by_key(|candidate| candidate.hop.node);
+    candidates
+}
+
+fn first(table: &table::Table, hash: u64) -> Option<u16> {
+    table.chain(hash).next().map(|hop| hop.addr.port())
+}
+
+#[parameterized(
+    none = { &[], 0 },
+    one = { &[1.0], 1 },
+    two = { &[1.0, 2.0], 2 },
+    many = { &[1.0; 9], 3 },
+    drained = { &[1.0, 0.0, 1.0], 2 },
+)]
+fn chain_length(weights: &[f64], expected: usize) {
+    let table = table::Table::build(SERVICE, &candidates(weights));
+    for hash in 0..table::BUCKETS as u64 {
+        assert_eq!(table.chain(hash).count(), expected);
+    }
+}
+
+#[test]
+fn removal_moves_only_its_own_buckets() {
+    let before = table::Table::build(SERVICE, &candidates(&[1.0, 1.0, 1.0, 1.0]));
+    let after = table::Table::build(SERVICE, &candidates(&[1.0, 1.0, 1.0, 0.0]));
+    for hash in 0..table::BUCKETS as u64 {
+        let old = first(&before, hash);
+        if old != Some(4) {
+            assert_eq!(first(&after, hash), old);
+        }
+    }
+}
+
+#[test]
+fn share_follows_weight() {
+    let table = table::Table::build(SERVICE, &candidates(&[1.0, 3.0]));
+    let heavy = (0..table::BUCKETS as u64)
+        .filter(|hash| first(&table, *hash) == Some(2))
+        .count();
+    let share = heavy * 100 / table::BUCKETS;
+    assert!(
+        (70..=80).contains(&share),
+        "share of the heavy candidate is {share} %"
+    );
+}
