Decide on a flow's packets at the agent

An agent owns its flows, forwards displaced ones to their stated owner, passes unknown packets along the chain and resets a stray only after the tables have had time to agree. A second acceptor of one opening packet tells the caller's answers to the first by the acknowledged number.

--- a/src/header.rs
+++ b/src/header.rs
@@ -59,6 +59,8 @@
     pub chain: Vec<Hop>,
     /// The fabric's address, which takes answers.
     pub fabric: SocketAddrV4,
+    /// Whether an agent sent the packet to the flow's stated owner.
+    pub forwarded: bool,
 }
 
 /// Writes the body of a `Packet` datagram up to the packet itself.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,8 @@
 //! actions out.
 
 pub mod clock;
+pub mod displaced;
+pub mod flow;
 pub mod gue;
 pub mod header;
 pub mod ident;
