Add the user-space TCP endpoint of one flow

Agents end callers' flows themselves, because no balancer sees all packets of a flow.

smoltcp resets what its socket does not know. Two agents may both have answered one SYN, and a reset from the loser carries a sequence number that the caller accepts. The endpoint therefore shows its socket only packets that are its own and reports the others as foreign; a half-open flow lapses without a packet. smoltcp also drops unread bytes when it leaves TIME-WAIT, so they are taken out when it is entered.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! actions out.
 
 pub mod clock;
+pub mod endpoint;
 pub mod gue;
 pub mod header;
 pub mod ident;
--- /dev/null
+++ b/tests/endpoint.rs
@@ -0,0 +1,370 @@
+//! Endpoints in memory, both ends of a flow in virtual time.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    task::Poll,
+};
+
+use cassiacross::{
+    clock,
+    endpoint::{self, Delivery, Endpoint, Error},
+    packet,
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const FLOW: packet::Flow = packet::Flow {
+    caller: SocketAddrV4::new(Ipv4Addr::new(10, 77, 0, 1), 40_000),
+    service: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 80),
+};
+const LIMIT: clock::Millis = clock::Millis(600_000);
+
+/// What the path does to packets.
+#[derive(Clone, Copy, Default)]
+struct Path {
+    jitter: u64,
+    duplicate: f64,
+    drop: f64,
+}
+
+struct Packet {
+    due: clock::Millis,
+    to_service: bool,
+    bytes: Vec<u8>,
+}
+
+/// Two endpoints and the packets underway between them.
+struct Pair {
+    caller: Endpoint,
+    service: Endpoint,
+    underway: Vec<Packet>,
+    now: clock::Millis,
+    path: Path,
+    rng: SmallRng,
+}
+
+impl Pair {
+    fn new(path: Path, seed: u64) -> Self {
+        let options = endpoint::Options::default();
+        let now = clock::Millis(0);
+        Self {
+            caller: Endpoint::connect(FLOW, options, seed, now),
+            service: Endpoint::accept(FLOW, options, seed + 1, now),
+            underway: Vec::new(),
+            now,
+            path,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    fn open(path: Path, seed: u64) -> Self {
+        let mut pair = Self::new(path, seed);
+        pair.run(|pair| pair.caller.established() && pair.service.established());
+        pair
+    }
+
+    fn send(&mut self, to_service: bool, sent: Vec<Vec<u8>>) {
+        for bytes in sent {
+            let copies = 1 + usize::from(self.rng.random_bool(self.path.duplicate));
+            for _ in 0..copies {
+                if self.rng.random_bool(self.path.drop) {
+                    continue;
+                }
+                let delay = 3 + self.rng.random_range(0..=self.path.jitter);
+                self.underway.push(Packet {
+                    due: self.now + clock::Millis(delay),
+                    to_service,
+                    bytes: bytes.clone(),
+                });
+            }
+        }
+    }
+
+    fn act<T>(
+        &mut self,
+        on_service: bool,
+        f: impl FnOnce(&mut Endpoint, clock::Millis, &mut dyn FnMut(&[u8])) -> T,
+    ) -> T {
+        let mut sent = Vec::new();
+        let end = if on_service {
+            &mut self.service
+        } else {
+            &mut self.caller
+        };
+        let result = f(end, self.now, &mut |packet| sent.push(packet.to_vec()));
+        self.send(!on_service, sent);
+        result
+    }
+
+    /// One millisecond: packets that are due, then timers of both ends.
+    fn step(&mut self) {
+        self.now = self.now + clock::Millis(1);
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.underway)
+            .into_iter()
+            .partition(|packet| packet.due <= now);
+        self.underway = later;
+        let due: Vec<Packet> = due;
+        for packet in due {
+            self.act(packet.to_service, |end, now, send| {
+                end.deliver(&packet.bytes, now, send)
+            });
+        }
+        for on_service in [false, true] {
+            self.act(on_service, |end, now, send| end.poll(now, send));
+        }
+    }
+
+    fn run(&mut self, mut until: impl FnMut(&mut Self) -> bool) {
+        while !until(self) {
+            self.step();
+            assert!(self.now < LIMIT, "the condition never came true");
+        }
+    }
+
+    /// Sends `len` bytes from the caller, closes, and gives what the service read.
+    fn transfer(&mut self, len: usize) -> Vec<u8> {
+        let bytes = pattern(len);
+        let mut sent = 0;
+        let mut received = Vec::new();
+        self.run(|pair| {
+            if sent < bytes.len() {
+                if let Poll::Ready(len) = pair.caller.write(&bytes[sent..]) {
+                    sent += len.expect("the flow takes bytes");
+                }
+            } else {
+                pair.caller.close();
+            }
+            read_some(&mut pair.service, &mut received)
+        });
+        received
+    }
+}
+
+fn pattern(len: usize) -> Vec<u8> {
+    (0..len)
+        .map(|index| u8::try_from(index * 31 % 251).expect("below 251"))
+        .collect()
+}
+
+/// Reads what there is; true at the end of the bytes.
+fn read_some(end: &mut Endpoint, out: &mut Vec<u8>) -> bool {
+    let mut buffer = [0; 4_096];
+    loop {
+        match end.read(&mut buffer) {
+            Poll::Pending => return false,
+            Poll::Ready(Ok(0)) => return true,
+            Poll::Ready(Ok(len)) => out.extend_from_slice(&buffer[..len]),
+            Poll::Ready(Err(error)) => panic!("read failed: {error}"),
+        }
+    }
+}
+
+fn read_once(end: &mut Endpoint) -> Poll<Result<usize, Error>> {
+    end.read(&mut [0; 64])
+}
+
+#[parameterized(
+    plain = { Path::default(), 100_000, 1 },
+    reordered = { Path { jitter: 3, ..Path::default() }, 100_000, 2 },
+    duplicated = { Path { duplicate: 0.2, ..Path::default() }, 100_000, 3 },
+    reordered_duplicated = { Path { jitter: 5, duplicate: 0.1, drop: 0.0 }, 100_000, 4 },
+    lossy = { Path { drop: 0.02, ..Path::default() }, 10_000, 5 },
+    lossy_reordered = { Path { drop: 0.02, jitter: 3, duplicate: 0.05 }, 10_000, 6 },
+    empty = { Path::default(), 0, 7 },
+)]
+fn transfer(path: Path, len: usize, seed: u64) {
+    let mut pair = Pair::open(path, seed);
+    assert_eq!(pair.transfer(len), pattern(len));
+}
+
+#[test]
+fn isn_follows_seed() {
+    let first = Pair::open(Path::default(), 11);
+    let second = Pair::open(Path::default(), 11);
+    let third = Pair::open(Path::default(), 12);
+    assert!(first.service.local_isn().is_some());
+    assert_eq!(first.service.local_isn(), second.service.local_isn());
+    assert_ne!(first.service.local_isn(), third.service.local_isn());
+    assert_ne!(first.service.local_isn(), first.caller.local_isn());
+}
+
+#[test]
+fn half_close_leaves_other_direction_open() {
+    let mut pair = Pair::open(Path::default(), 21);
+    assert_eq!(pair.transfer(1_000).len(), 1_000);
+    let reply = pattern(2_000);
+    assert_eq!(pair.service.write(&reply), Poll::Ready(Ok(2_000)));
+    pair.service.close();
+    let mut received = Vec::new();
+    pair.run(|pair| read_some(&mut pair.caller, &mut received));
+    assert_eq!(received, reply);
+    pair.run(|pair| pair.caller.finished() && pair.service.finished());
+    assert_eq!(pair.caller.failure(), None);
+    assert_eq!(pair.service.failure(), None);
+    assert!(pair.now < clock::Millis(15_000));
+}
+
+#[test]
+fn unread_bytes_outlive_the_flow() {
+    let mut pair = Pair::open(Path::default(), 22);
+    assert_eq!(pair.service.write(&pattern(500)), Poll::Ready(Ok(500)));
+    pair.caller.close();
+    pair.service.close();
+    pair.run(|pair| pair.caller.finished());
+    let mut received = Vec::new();
+    assert!(read_some(&mut pair.caller, &mut received));
+    assert_eq!(received, pattern(500));
+}
+
+#[test]
+fn close_before_handshake_ends_in_order() {
+    let mut pair = Pair::new(Path::default(), 23);
+    pair.caller.close();
+    let mut received = Vec::new();
+    pair.run(|pair| pair.service.established() && read_some(&mut pair.service, &mut received));
+    assert_eq!(pair.service.failure(), None);
+}
+
+#[parameterized(caller = { false }, service = { true })]
+fn reset_reaches_peer(by_service: bool) {
+    let mut pair = Pair::open(Path::default(), 31);
+    pair.act(by_service, Endpoint::abort);
+    let (own, peer) = if by_service {
+        (&mut pair.service, &mut pair.caller)
+    } else {
+        (&mut pair.caller, &mut pair.service)
+    };
+    assert_eq!(read_once(own), Poll::Ready(Err(Error::Aborted)));
+    assert_eq!(read_once(peer), Poll::Pending);
+    pair.run(|pair| pair.caller.finished() && pair.service.finished());
+    let peer = if by_service {
+        &mut pair.caller
+    } else {
+        &mut pair.service
+    };
+    assert_eq!(read_once(peer), Poll::Ready(Err(Error::Reset)));
+    assert_eq!(peer.write(b"x"), Poll::Ready(Err(Error::Reset)));
+    assert_eq!(peer.poll_at(clock::Millis(0)), None);
+}
+
+#[parameterized(closed = { true, None }, open = { false, Some(Error::Reset) })]
+fn release_of_open_flow_resets_it(closed: bool, expected: Option<Error>) {
+    let mut pair = Pair::open(Path::default(), 32);
+    if closed {
+        pair.service.close();
+    }
+    pair.act(true, Endpoint::release);
+    pair.caller.close();
+    pair.run(|pair| pair.caller.finished());
+    assert_eq!(pair.caller.failure(), expected);
+}
+
+#[test]
+fn silent_peer_times_out() {
+    let mut pair = Pair::open(Path::default(), 41);
+    pair.path.drop = 1.0;
+    pair.run(|pair| pair.caller.finished());
+    assert_eq!(
+        read_once(&mut pair.caller),
+        Poll::Ready(Err(Error::Timeout))
+    );
+    let limit = endpoint::Options::default().timeout;
+    assert!(pair.now < limit + limit);
+}
+
+#[test]
+fn idle_flow_stays() {
+    let mut pair = Pair::open(Path::default(), 42);
+    pair.run(|pair| pair.now > clock::Millis(300_000));
+    assert!(pair.caller.established() && pair.service.established());
+    assert_eq!(pair.transfer(100), pattern(100));
+}
+
+#[test]
+fn half_open_flow_lapses_without_a_packet() {
+    let mut pair = Pair::new(Path::default(), 43);
+    pair.run(|pair| pair.service.local_isn().is_some());
+    assert!(pair.service.half_open());
+    let mut now = pair.now;
+    let mut last = Vec::new();
+    while let Some(due) = pair.service.poll_at(now) {
+        now = due.max(now + clock::Millis(1));
+        last.clear();
+        pair.service
+            .poll(now, &mut |packet| last.push(packet.to_vec()));
+    }
+    assert!(pair.service.finished());
+    assert!(last.is_empty());
+}
+
+#[test]
+fn foreign_packets_are_left_alone() {
+    let mut pair = Pair::open(Path::default(), 51);
+    let mut stranger = Endpoint::accept(
+        FLOW,
+        endpoint::Options::default(),
+        99,
+        clock::Millis::default(),
+    );
+    let mut sent = Vec::new();
+    assert_eq!(pair.caller.write(b"x"), Poll::Ready(Ok(1)));
+    pair.caller
+        .poll(pair.now, &mut |packet| sent.push(packet.to_vec()));
+    let delivery = stranger.deliver(&sent[0], pair.now, &mut |_packet| {
+        panic!("an answer to a foreign packet")
+    });
+    assert_eq!(delivery, Delivery::Foreign);
+    assert!(stranger.half_open());
+}
+
+/// The caller's opening packet reaches two agents, and `first` answers first.
+#[parameterized(second_answers_late = { 0 }, first_answers_late = { 1 })]
+fn two_acceptors_leave_caller_whole(first: usize) {
+    let options = endpoint::Options::default();
+    let now = clock::Millis(0);
+    let mut caller = Endpoint::connect(FLOW, options, 1, now);
+    let mut acceptors = [
+        Endpoint::accept(FLOW, options, 2, now),
+        Endpoint::accept(FLOW, options, 3, now),
+    ];
+    let mut opening = Vec::new();
+    caller.poll(now, &mut |packet| opening.push(packet.to_vec()));
+    let mut answers = [Vec::new(), Vec::new()];
+    for (acceptor, answers) in acceptors.iter_mut().zip(&mut answers) {
+        acceptor.deliver(&opening[0], now, &mut |packet| {
+            answers.push(packet.to_vec());
+        });
+    }
+    assert_ne!(acceptors[0].local_isn(), acceptors[1].local_isn());
+
+    let second = 1 - first;
+    let mut sent = Vec::new();
+    for index in [first, second] {
+        caller.deliver(&answers[index][0], now, &mut |packet| {
+            sent.push(packet.to_vec());
+        });
+    }
+    assert!(caller.established());
+    for packet in &sent {
+        let delivery = acceptors[second].deliver(packet, now, &mut |_packet| {
+            panic!("an answer to another acceptor's acknowledgement")
+        });
+        assert_eq!(delivery, Delivery::Foreign);
+        assert_eq!(
+            acceptors[first].deliver(packet, now, &mut |_packet| {}),
+            Delivery::Taken
+        );
+    }
+    assert!(acceptors[first].established());
+    assert!(acceptors[second].half_open());
+
+    let lapse = now + options.handshake;
+    acceptors[second].poll(lapse, &mut |_packet| panic!("a lapse is silent"));
+    assert!(acceptors[second].finished());
+    assert_eq!(caller.write(b"kept"), Poll::Ready(Ok(4)));
+    let mut data = Vec::new();
+    caller.poll(now, &mut |packet| data.push(packet.to_vec()));
+    acceptors[first].deliver(&data[0], now, &mut |_packet| {});
+    assert_eq!(read_once(&mut acceptors[first]), Poll::Ready(Ok(4)));
+}
