Add asynchronous streams over endpoints

A stream that is dropped without shutdown resets its flow; after a shutdown the peer gets time to close too, so that a whole answer is not cut by its own end.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -270,6 +270,15 @@
         self.run(None, now, send);
     }
 
+    /// Ends the flow at this end without a packet.
+    pub fn discard(&mut self) {
+        if self.finished() {
+            return;
+        }
+        self.end = Some(End::Failed(Error::Aborted));
+        self.socket_mut().abort();
+    }
+
     /// Lets go of the flow: nobody reads or writes any more.
     ///
     /// A flow that was closed in order gets time for the peer to close too,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod record;
 pub mod seal;
 pub mod settings;
+pub mod stream;
 pub mod table;
