--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 pub mod displaced;
+pub mod endpoint;
 pub mod flow;
 pub mod gue;
 pub mod header;
@@ -15,4 +16,5 @@
 pub mod record;
 pub mod seal;
 pub mod settings;
+pub mod stream;
 pub mod table;
