--- /dev/null
+++ b/src/forward.rs
@@ -0,0 +1,186 @@
+//! From a fabric's datagram to the sealed datagram for an agent.
+
+use std::{net::SocketAddrV4, sync::Arc};
+
+use thiserror::Error;
+
+use crate::{gue, header, ident, member, packet, record, seal, table};
+
+/// Why a datagram from the fabric was dropped.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Error {
+    /// Not an encapsulated IPv4 packet.
+    #[error("not an encapsulated IPv4 packet")]
+    Gue(#[from] gue::Error),
+    /// Not a TCP packet that can be forwarded.
+    #[error("not a TCP packet that can be forwarded")]
+    Packet(#[from] packet::Error),
+    /// No service has the packet's destination.
+    #[error("no service has the destination")]
+    Service,
+    /// No agent can take the packet.
+    #[error("the service has no candidate")]
+    Candidates,
+}
+
+/// One service's address and table.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// The address that callers use.
+    pub address: SocketAddrV4,
+    /// The service.
+    pub service: ident::ServiceId,
+    /// The candidates of each bucket.
+    pub table: Arc<table::Table>,
+}
+
+/// The routes of all services, sorted by address.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    routes: Vec<Route>,
+}
+
+/// Buffers that are used again for each packet.
+#[derive(Debug)]
+pub struct Scratch {
+    header: header::Header,
+    head: Vec<u8>,
+    datagram: Vec<u8>,
+}
+
+impl Routes {
+    /// The routes, sorted by address.
+    #[must_use]
+    pub fn as_slice(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// The route of a destination.
+    #[must_use]
+    pub fn find(&self, address: SocketAddrV4) -> Option<&Route> {
+        self.routes
+            .binary_search_by_key(&address, |route| route.address)
+            .ok()
+            .map(|at| &self.routes[at])
+    }
+
+    /// The routes for the services and agents now in force.
+    ///
+    /// Tables whose candidates did not change are shared with these routes;
+    /// of two services with one address the first by name has it.
+    #[must_use]
+    pub fn rebuild<'a>(
+        &self,
+        services: impl IntoIterator<Item = &'a record::Service>,
+        candidates: impl Fn(&record::Service) -> Vec<table::Candidate>,
+    ) -> Self {
+        let mut routes: Vec<_> = services
+            .into_iter()
+            .map(|service| self.route(service, &candidates(service)))
+            .collect();
+        routes.sort_by_key(|route| route.address);
+        routes.dedup_by_key(|route| route.address);
+        Self { routes }
+    }
+
+    /// Whether each route is the very same as in `other`.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let same = |(a, b): (&Route, &Route)| {
+            (a.address, a.service) == (b.address, b.service) && Arc::ptr_eq(&a.table, &b.table)
+        };
+        self.routes.len() == other.routes.len() && self.routes.iter().zip(&other.routes).all(same)
+    }
+
+    fn route(&self, service: &record::Service, candidates: &[table::Candidate]) -> Route {
+        let id = ident::ServiceId::of(&service.name);
+        let old = self.routes.iter().find(|route| route.service == id);
+        let table = old
+            .filter(|route| route.table.candidates() == candidates)
+            .map_or_else(
+                || Arc::new(table::Table::build(id, candidates)),
+                |route| Arc::clone(&route.table),
+            );
+        Route {
+            address: service.address,
+            service: id,
+            table,
+        }
+    }
+}
+
+impl Scratch {
+    /// Empty buffers.
+    #[must_use]
+    pub fn new() -> Self {
+        let nobody = SocketAddrV4::new(std::net::Ipv4Addr::UNSPECIFIED, 0);
+        Self {
+            header: header::Header {
+                version: header::VERSION,
+                service: ident::ServiceId(0),
+                target: header::Hop {
+                    node: ident::NodeId(0),
+                    incarnation: ident::Incarnation(0),
+                    addr: nobody,
+                },
+                chain: Vec::with_capacity(table::CHAIN_LEN),
+                fabric: nobody,
+            },
+            head: Vec::new(),
+            datagram: Vec::new(),
+        }
+    }
+}
+
+impl Default for Scratch {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// The candidates among a service's agents: those that are ready and have
+/// weight, sorted by node as `members` are.
+pub fn candidates<'a>(
+    service: &record::Service,
+    members: impl IntoIterator<Item = &'a member::Member>,
+) -> Vec<table::Candidate> {
+    members
+        .into_iter()
+        .filter(|member| member.state == member::State::Ready)
+        .map(|member| table::Candidate {
+            hop: member.hop(),
+            weight: service.weight(&member.name) * member::capacity(member.step),
+        })
+        .filter(|candidate| candidate.weight > 0.0)
+        .collect()
+}
+
+/// Turns a fabric's datagram into one for an agent, and gives both the
+/// agent's address and the sealed datagram.
+pub fn forward<'a>(
+    routes: &Routes,
+    sealer: &seal::Sealer,
+    seed: u64,
+    fabric: SocketAddrV4,
+    datagram: &[u8],
+    scratch: &'a mut Scratch,
+) -> Result<(SocketAddrV4, &'a [u8]), Error> {
+    let bytes = gue::decode(datagram)?;
+    let view = packet::parse(bytes)?;
+    let route = routes.find(view.flow.service).ok_or(Error::Service)?;
+    let mut chain = route.table.chain(view.flow.hash(seed)).copied();
+    let target = chain.next().ok_or(Error::Candidates)?;
+    let header = &mut scratch.header;
+    header.service = route.service;
+    header.target = target;
+    header.chain.clear();
+    header.chain.extend(chain);
+    header.fabric = fabric;
+    header::encode(header, &mut scratch.head);
+    sealer.seal(
+        seal::Kind::Packet,
+        &[&scratch.head, bytes],
+        &mut scratch.datagram,
+    );
+    Ok((target.addr, &scratch.datagram))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,10 +5,13 @@
 //! actions out.
 
 pub mod clock;
+pub mod exchange;
+pub mod forward;
 pub mod gue;
 pub mod header;
 pub mod ident;
 pub mod member;
+pub mod membership;
 pub mod packet;
 pub mod record;
 pub mod seal;
