--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,11 +7,14 @@
 pub mod clock;
 pub mod displaced;
 pub mod endpoint;
+pub mod exchange;
 pub mod flow;
+pub mod forward;
 pub mod gue;
 pub mod header;
 pub mod ident;
 pub mod member;
+pub mod membership;
 pub mod packet;
 pub mod record;
 pub mod seal;
