Keep an agent's view of its service

A view never takes a record back to an older version. Where no ready upstream is left, all agents are candidates, so that packets of open flows still arrive.

--- a/src/displaced.rs
+++ b/src/displaced.rs
@@ -35,13 +35,6 @@
         /// The flow.
         flow: Flow,
     },
-    /// A flow that was forwarded to its stated owner is not there any more.
-    Gone {
-        /// The stated owner.
-        owner: Hop,
-        /// The flow.
-        flow: Flow,
-    },
 }
 
 /// A statement to send.
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -192,14 +192,14 @@
         remove(&mut self.strays, &flow, |entry| &entry.flow);
     }
 
-    /// Forgets what was stated of a flow by `owner`, which no longer has it.
-    pub fn unregister(&mut self, flow: &Flow, owner: Hop) {
-        let index = position(&self.redirects, flow, |entry| &entry.flow);
-        if let Ok(index) = index
-            && self.redirects[index].owner == owner
-        {
-            self.redirects.remove(index);
-        }
+    /// Forgets redirects of `service` to owners that are not among `live`, sorted by node.
+    pub fn retain_owners(&mut self, service: ServiceId, live: &[Hop]) {
+        let is_live = |owner: &Hop| {
+            live.binary_search_by_key(&owner.node, |hop| hop.node)
+                .is_ok_and(|index| live[index].incarnation == owner.incarnation)
+        };
+        self.redirects
+            .retain(|entry| entry.service != service || is_live(&entry.owner));
     }
 
     /// Whether the flow is owned here and confirmed by its caller.
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -125,6 +125,7 @@
                 },
                 chain: Vec::with_capacity(table::CHAIN_LEN),
                 fabric: nobody,
+                forwarded: false,
             },
             head: Vec::new(),
             datagram: Vec::new(),
@@ -140,19 +141,34 @@
 
 /// The candidates among a service's agents: those that are ready and have
 /// weight, sorted by node as `members` are.
+///
+/// Where none is left, all agents are candidates, so that packets of flows that
+/// live on still find their owners; agents that take nothing new refuse by themselves.
 pub fn candidates<'a>(
     service: &record::Service,
     members: impl IntoIterator<Item = &'a member::Member>,
 ) -> Vec<table::Candidate> {
-    members
-        .into_iter()
+    let members: Vec<_> = members.into_iter().collect();
+    let ready: Vec<_> = members
+        .iter()
         .filter(|member| member.state == member::State::Ready)
-        .map(|member| table::Candidate {
-            hop: member.hop(),
-            weight: service.weight(&member.name) * member::capacity(member.step),
-        })
+        .map(|member| candidate(member, service.weight(&member.name)))
         .filter(|candidate| candidate.weight > 0.0)
-        .collect()
+        .collect();
+    if ready.is_empty() {
+        return members
+            .iter()
+            .map(|member| candidate(member, 1.0))
+            .collect();
+    }
+    ready
+}
+
+fn candidate(member: &member::Member, weight: f64) -> table::Candidate {
+    table::Candidate {
+        hop: member.hop(),
+        weight: weight * member::capacity(member.step),
+    }
 }
 
 /// Turns a fabric's datagram into one for an agent, and gives both the
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! daemons under `src/bin` read sockets, call the library and carry its
 //! actions out.
 
+pub mod announce;
 pub mod clock;
 pub mod displaced;
 pub mod endpoint;
@@ -21,3 +22,4 @@
 pub mod settings;
 pub mod stream;
 pub mod table;
+pub mod views;
--- /dev/null
+++ b/src/views.rs
@@ -0,0 +1,136 @@
+//! What an agent knows of its service, and of services that took over an address.
+
+use std::net::SocketAddrV4;
+
+use crate::{exchange, forward, header, ident, member, record, table};
+
+/// A service that has an address which flows of this agent still use.
+#[derive(Clone, Debug)]
+struct Successor {
+    address: SocketAddrV4,
+    table: table::Table,
+}
+
+/// The agent's view of its own service and of successors at former addresses.
+#[derive(Clone, Debug, Default)]
+pub struct Views {
+    service: Option<record::Service>,
+    version: u64,
+    digest: u64,
+    members: Vec<member::Member>,
+    balancers: Vec<member::Balancer>,
+    table: table::Table,
+    successors: Vec<Successor>,
+}
+
+impl Views {
+    /// Takes a pulled view of the agent's own service.
+    ///
+    /// The record never goes back to an older version, nor a member to an older entry.
+    /// Returns whether the record changed.
+    pub fn take(&mut self, view: exchange::View) -> bool {
+        let newer = view.version > self.version;
+        if newer {
+            self.version = view.version;
+            self.service = view.service;
+        }
+        let old = std::mem::replace(&mut self.members, view.members);
+        for member in &mut self.members {
+            if let Some(known) = find(&old, member.node).filter(|known| known.is_newer(member)) {
+                member.clone_from(known);
+            }
+        }
+        self.digest = view.digest;
+        if !view.balancers.is_empty() {
+            self.balancers = view.balancers;
+        }
+        newer
+    }
+
+    /// Ranks the candidates anew; `me` is the agent's own entry, newer than any pulled one.
+    pub fn rebuild(&mut self, me: &member::Member) {
+        let Some(service) = &self.service else {
+            self.table = table::Table::default();
+            return;
+        };
+        let mut members = self.members.clone();
+        match members.binary_search_by_key(&me.node, |member| member.node) {
+            Ok(index) => members[index].clone_from(me),
+            Err(index) => members.insert(index, me.clone()),
+        }
+        let candidates = forward::candidates(service, &members);
+        self.table = table::Table::build(ident::ServiceId::of(&service.name), &candidates);
+    }
+
+    /// Takes the view of the service that now has `address`.
+    pub fn succeed(&mut self, address: SocketAddrV4, view: &exchange::View) {
+        self.successors.retain(|entry| entry.address != address);
+        let Some(service) = &view.service else { return };
+        let candidates = forward::candidates(service, &view.members);
+        let table = table::Table::build(ident::ServiceId::of(&service.name), &candidates);
+        self.successors.push(Successor { address, table });
+        self.successors.sort_by_key(|entry| entry.address);
+    }
+
+    /// The table that balancers use for an address.
+    #[must_use]
+    pub fn table(&self, address: SocketAddrV4) -> Option<&table::Table> {
+        if self.address() == Some(address) {
+            return Some(&self.table);
+        }
+        let index = self
+            .successors
+            .binary_search_by_key(&address, |entry| entry.address)
+            .ok()?;
+        Some(&self.successors[index].table)
+    }
+
+    /// The service's address in force.
+    #[must_use]
+    pub fn address(&self) -> Option<SocketAddrV4> {
+        self.service.as_ref().map(|service| service.address)
+    }
+
+    /// The record in force.
+    #[must_use]
+    pub const fn service(&self) -> Option<&record::Service> {
+        self.service.as_ref()
+    }
+
+    /// Version of the record in force, 0 before the first.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Digest of the last pulled view.
+    #[must_use]
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The live balancers, sorted by node.
+    #[must_use]
+    pub fn balancers(&self) -> &[member::Balancer] {
+        &self.balancers
+    }
+
+    /// The service's agents, sorted by node.
+    #[must_use]
+    pub fn members(&self) -> &[member::Member] {
+        &self.members
+    }
+
+    /// The service's agents as hops, sorted by node.
+    #[must_use]
+    pub fn hops(&self) -> Vec<header::Hop> {
+        self.members.iter().map(member::Member::hop).collect()
+    }
+}
+
+fn find(members: &[member::Member], node: ident::NodeId) -> Option<&member::Member> {
+    let index = members
+        .binary_search_by_key(&node, |member| member.node)
+        .ok()?;
+    Some(&members[index])
+}
