--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,515 @@
+//! Admission to the slots of one upstream: who starts, who waits, who is refused.
+//!
+//! Classes go in strict order, with a small guaranteed share of the slot time
+//! for each lower class. A request that cannot finish before its deadline is
+//! refused when it arrives, and again when its turn comes, so slots are spent
+//! only on answers that still count.
+//!
+//! Within a class the earliest deadline goes first. The expected wait bounds
+//! the line to what can finish in time, which avoids the late service of a
+//! long first-in-first-out line; a newest-first order would then only add
+//! refusals of work that has already waited. When a line is full the newest
+//! request is refused, because its caller has lost the least.
+//!
+//! Feeds hold a connection, never a slot.
+
+use std::collections::VecDeque;
+
+use crate::{clock, member, record};
+
+/// Number of classes.
+pub const CLASSES: usize = 3;
+
+/// Requests that may wait in one class.
+pub const MAX_WAITING: usize = 256;
+
+/// Guaranteed shares of the slot time, by class; the first class needs none.
+const SHARES: [f64; CLASSES] = [0.0, 0.10, 0.05];
+
+/// Service time that is assumed before any was measured, in milliseconds.
+const INITIAL_SERVICE_MS: f64 = 20.0;
+
+/// Weight of a new sample in the estimates of one class.
+const CLASS_GAIN: f64 = 0.1;
+
+/// Weight of a new sample in the estimate behind the capacity.
+const CAPACITY_GAIN: f64 = 0.03;
+
+/// Deviations from the mean that a service time may be longer (as in RFC 6298).
+const DEVIATIONS: f64 = 4.0;
+
+/// Time constant over which the use of slots is remembered, in milliseconds.
+const USE_SPAN_MS: f64 = 1_000.0;
+
+/// The least part of the slots that an estimate counts on.
+const MIN_PORTION: f64 = 0.01;
+
+/// How long one slot stays reserved after the last urgent request.
+const RESERVE_SPAN: clock::Millis = clock::Millis(5_000);
+
+/// Service times that are needed before a capacity is announced.
+const MIN_SAMPLES: u32 = 16;
+
+/// How far the capacity moves before its step follows, in steps.
+const STEP_SLACK: f64 = 0.8;
+
+/// The shortest time between two changes of the step.
+const STEP_DWELL: clock::Millis = clock::Millis(5_000);
+
+/// Steps that double the capacity, see [`member::step`].
+const STEPS_PER_DOUBLING: f64 = 4.0;
+
+const MILLIS_PER_SECOND: f64 = 1_000.0;
+
+/// Which rules are in force; each can be turned off for comparison.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each rule is turned off on its own"
+)]
+pub struct Policy {
+    /// Classes are kept apart; without it all requests wait in one line.
+    pub classes: bool,
+    /// Lower classes have a guaranteed share of the slot time.
+    pub shares: bool,
+    /// Deadlines order a line and refuse what cannot finish in time.
+    pub deadlines: bool,
+    /// One slot is kept from bulk work while urgent requests arrive.
+    pub reserve: bool,
+}
+
+impl Policy {
+    /// One bounded first-in-first-out line.
+    pub const FIFO: Self = Self {
+        classes: false,
+        shares: false,
+        deadlines: false,
+        reserve: false,
+    };
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            classes: true,
+            shares: true,
+            deadlines: true,
+            reserve: true,
+        }
+    }
+}
+
+/// What one upstream can hold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Connections that are open at once.
+    pub connections: usize,
+}
+
+/// A request that waits; later ones compare greater.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// Why a request was refused before it ran.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The line of its class is full.
+    Full,
+    /// It would not finish before its deadline.
+    Late,
+    /// All connections are taken.
+    Connections,
+}
+
+impl Refusal {
+    /// Name for metrics and logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Full => "full",
+            Self::Late => "late",
+            Self::Connections => "connections",
+        }
+    }
+}
+
+/// The answer to a request for a slot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// A slot is taken, the request starts.
+    Start,
+    /// The request waits until [`Queue::next`] names its ticket.
+    Wait(Ticket),
+    /// The request does not run.
+    Refuse(Refusal),
+}
+
+/// A ticket whose turn came.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Turn {
+    /// A slot is taken, the request starts.
+    Start(Ticket),
+    /// The request does not run.
+    Refuse(Ticket, Refusal),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    deadline: clock::Millis,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Estimate {
+    mean: f64,
+    deviation: f64,
+    samples: u32,
+}
+
+impl Estimate {
+    fn add(&mut self, sample: f64, gain: f64) {
+        if self.samples == 0 {
+            self.mean = sample;
+        }
+        let gain = gain.max(1.0 / f64::from(self.samples + 1));
+        let error = sample - self.mean;
+        self.mean += gain * error;
+        self.deviation += gain * (error.abs() - self.deviation);
+        self.samples = self.samples.saturating_add(1);
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    waiting: VecDeque<Waiting>,
+    running: usize,
+    service: Estimate,
+    credit: f64,
+    used: f64,
+}
+
+/// The slots of one upstream and the requests that wait for them.
+#[derive(Clone, Debug)]
+pub struct Queue {
+    limits: Limits,
+    policy: Policy,
+    lanes: [Lane; CLASSES],
+    feeds: usize,
+    next: u64,
+    service: Estimate,
+    used_at: clock::Millis,
+    urgent_at: Option<clock::Millis>,
+    step: u8,
+    step_at: Option<clock::Millis>,
+}
+
+impl Queue {
+    /// An empty queue.
+    #[must_use]
+    pub fn new(limits: Limits, policy: Policy) -> Self {
+        Self {
+            limits,
+            policy,
+            lanes: Default::default(),
+            feeds: 0,
+            next: 0,
+            service: Estimate::default(),
+            used_at: clock::Millis(0),
+            urgent_at: None,
+            step: 0,
+            step_at: None,
+        }
+    }
+
+    /// What the upstream can hold.
+    #[must_use]
+    pub const fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Follows an upstream that announces other limits; running work stays.
+    pub const fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// Requests that hold a slot.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.running).sum()
+    }
+
+    /// Requests that wait for a slot.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.waiting.len()).sum()
+    }
+
+    /// Feeds that hold a connection.
+    #[must_use]
+    pub const fn feeds(&self) -> usize {
+        self.feeds
+    }
+
+    /// Whether a new flow should be accepted: a slot is free, or the line is short.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        let connection = self.feeds + self.running() < self.limits.connections;
+        connection && (self.running() < self.limits.slots || self.waiting() < self.limits.slots)
+    }
+
+    /// Asks for a slot; `deadline` is the point at which the answer must have ended.
+    pub fn offer(
+        &mut self,
+        class: record::Class,
+        deadline: clock::Millis,
+        now: clock::Millis,
+    ) -> Offer {
+        if class == record::Class::Urgent {
+            self.urgent_at = Some(now);
+        }
+        let lane = self.lane(class);
+        if self.lanes[lane].waiting.is_empty() && self.may_start(lane, now) {
+            if self.policy.deadlines && deadline <= now {
+                return Offer::Refuse(Refusal::Late);
+            }
+            self.start(lane);
+            return Offer::Start;
+        }
+        if self.lanes[lane].waiting.len() >= MAX_WAITING {
+            return Offer::Refuse(Refusal::Full);
+        }
+        let needed = self.expected_wait(lane, deadline) + self.long_service(lane);
+        if self.policy.deadlines && needed > span(deadline, now) {
+            return Offer::Refuse(Refusal::Late);
+        }
+        Offer::Wait(self.push(lane, deadline))
+    }
+
+    /// Gives a free slot to the next request, or refuses one whose deadline is too near.
+    ///
+    /// Call until it returns `None` whenever a slot has become free.
+    pub fn next(&mut self, now: clock::Millis) -> Option<Turn> {
+        let lane = self.pick(now)?;
+        let head = self.lanes[lane].waiting.pop_front()?;
+        if self.policy.deadlines && self.long_service(lane) > span(head.deadline, now) {
+            return Some(Turn::Refuse(head.ticket, Refusal::Late));
+        }
+        self.charge(lane);
+        self.start(lane);
+        Some(Turn::Start(head.ticket))
+    }
+
+    /// Removes a request that waits; false where it waits no more.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        for lane in &mut self.lanes {
+            let place = lane.waiting.iter().position(|w| w.ticket == ticket);
+            if let Some(place) = place {
+                lane.waiting.remove(place);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Frees the slot of a request and learns from its service time.
+    pub fn complete(&mut self, class: record::Class, started: clock::Millis, now: clock::Millis) {
+        let service = span(now, started).max(0.5);
+        let lane = self.lane(class);
+        self.lanes[lane].service.add(service, CLASS_GAIN);
+        self.service.add(service, CAPACITY_GAIN);
+        self.release(class, started, now);
+    }
+
+    /// Frees the slot of a request whose service time says nothing, such as one that was cancelled.
+    pub fn release(&mut self, class: record::Class, started: clock::Millis, now: clock::Millis) {
+        self.decay(now);
+        let lane = self.lane(class);
+        let lane = &mut self.lanes[lane];
+        lane.used += span(now, started);
+        lane.running = lane.running.saturating_sub(1);
+    }
+
+    /// Takes a connection for a feed.
+    pub fn open_feed(&mut self) -> Result<(), Refusal> {
+        if self.feeds + self.limits.slots >= self.limits.connections {
+            return Err(Refusal::Connections);
+        }
+        self.feeds += 1;
+        Ok(())
+    }
+
+    /// Gives back a feed's connection.
+    pub const fn close_feed(&mut self) {
+        self.feeds = self.feeds.saturating_sub(1);
+    }
+
+    /// Requests per second that the slots complete, by measured service times.
+    #[must_use]
+    pub fn capacity(&self) -> Option<f64> {
+        (self.service.samples >= MIN_SAMPLES)
+            .then(|| count(self.limits.slots) * MILLIS_PER_SECOND / self.service.mean)
+    }
+
+    /// The step of the capacity that is announced, which follows slowly so that tables stay still.
+    pub fn step(&mut self, now: clock::Millis) -> u8 {
+        let Some(capacity) = self.capacity() else {
+            return self.step;
+        };
+        let exact = capacity.max(1.0).log2() * STEPS_PER_DOUBLING;
+        let moved = (exact - f64::from(self.step)).abs() > STEP_SLACK;
+        let rested = self
+            .step_at
+            .is_none_or(|changed| now.since(changed) >= STEP_DWELL);
+        if moved && rested {
+            self.step = member::step(capacity);
+            self.step_at = Some(now);
+        }
+        self.step
+    }
+
+    /// The time that a request would wait for a slot, in milliseconds.
+    #[must_use]
+    pub fn wait(&self, class: record::Class, deadline: clock::Millis) -> f64 {
+        self.expected_wait(self.lane(class), deadline)
+    }
+
+    const fn lane(&self, class: record::Class) -> usize {
+        if self.policy.classes {
+            class as usize
+        } else {
+            0
+        }
+    }
+
+    fn start(&mut self, lane: usize) {
+        self.lanes[lane].running += 1;
+    }
+
+    fn push(&mut self, lane: usize, deadline: clock::Millis) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let place = self.place(lane, deadline);
+        let waiting = Waiting { ticket, deadline };
+        self.lanes[lane].waiting.insert(place, waiting);
+        ticket
+    }
+
+    /// Where a new request stands in its line.
+    fn place(&self, lane: usize, deadline: clock::Millis) -> usize {
+        let waiting = &self.lanes[lane].waiting;
+        if self.policy.deadlines {
+            waiting.partition_point(|w| w.deadline <= deadline)
+        } else {
+            waiting.len()
+        }
+    }
+
+    fn may_start(&self, lane: usize, now: clock::Millis) -> bool {
+        self.running() < self.limits.slots && !self.is_reserved(lane, now)
+    }
+
+    /// Whether the last slot is kept from bulk work.
+    fn is_reserved(&self, lane: usize, now: clock::Millis) -> bool {
+        let recent = self
+            .urgent_at
+            .is_some_and(|seen| now.since(seen) < RESERVE_SPAN);
+        self.policy.reserve
+            && recent
+            && lane == record::Class::Bulk as usize
+            && self.limits.slots > 1
+            && self.lanes[lane].running + 1 >= self.limits.slots
+    }
+
+    fn pick(&self, now: clock::Millis) -> Option<usize> {
+        let ready =
+            |lane: &usize| !self.lanes[*lane].waiting.is_empty() && self.may_start(*lane, now);
+        let first = (0..CLASSES).find(ready)?;
+        let owed = (first + 1..CLASSES).filter(ready).find(|lane| {
+            self.policy.shares && self.lanes[*lane].credit >= self.mean_service(*lane)
+        });
+        Some(owed.unwrap_or(first))
+    }
+
+    /// Pays credit to the lower classes that wait, and takes it from the one that starts.
+    fn charge(&mut self, lane: usize) {
+        let service = self.mean_service(lane);
+        for lower in lane + 1..CLASSES {
+            let most = 2.0 * self.mean_service(lower);
+            let lower_lane = &mut self.lanes[lower];
+            if lower_lane.waiting.is_empty() {
+                lower_lane.credit = 0.0;
+            } else {
+                lower_lane.credit = (lower_lane.credit + SHARES[lower] * service).min(most);
+            }
+        }
+        let lane = &mut self.lanes[lane];
+        lane.credit = (lane.credit - service).max(0.0);
+    }
+
+    fn expected_wait(&self, lane: usize, deadline: clock::Millis) -> f64 {
+        let higher: f64 = (0..lane)
+            .map(|other| count(self.lanes[other].waiting.len()) * self.mean_service(other))
+            .sum();
+        let own = count(self.place(lane, deadline)) * self.mean_service(lane);
+        let residual = self.mean_running();
+        (higher + own + residual) / (count(self.limits.slots) * self.portion(lane))
+    }
+
+    /// The part of the slots that a class and those above it can count on.
+    fn portion(&self, lane: usize) -> f64 {
+        let whole = count(self.limits.slots) * USE_SPAN_MS;
+        let higher: f64 = self.lanes[..lane].iter().map(|l| l.used / whole).sum();
+        let lower: f64 = (lane + 1..CLASSES)
+            .filter(|other| self.policy.shares && !self.lanes[*other].waiting.is_empty())
+            .map(|other| SHARES[other])
+            .sum();
+        let least = if self.policy.shares {
+            SHARES[lane]
+        } else {
+            0.0
+        };
+        ((1.0 - higher).max(least) * (1.0 - lower)).max(MIN_PORTION)
+    }
+
+    fn mean_running(&self) -> f64 {
+        if self.service.samples == 0 {
+            INITIAL_SERVICE_MS
+        } else {
+            self.service.mean
+        }
+    }
+
+    fn mean_service(&self, lane: usize) -> f64 {
+        let service = &self.lanes[lane].service;
+        if service.samples == 0 {
+            self.mean_running()
+        } else {
+            service.mean
+        }
+    }
+
+    /// A service time that few requests of a class exceed.
+    fn long_service(&self, lane: usize) -> f64 {
+        self.mean_service(lane) + DEVIATIONS * self.lanes[lane].service.deviation
+    }
+
+    fn decay(&mut self, now: clock::Millis) {
+        let factor = (-span(now, self.used_at) / USE_SPAN_MS).exp();
+        for lane in &mut self.lanes {
+            lane.used *= factor;
+        }
+        self.used_at = self.used_at.max(now);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts and spans are small")]
+const fn count(n: usize) -> f64 {
+    n as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts and spans are small")]
+fn span(later: clock::Millis, earlier: clock::Millis) -> f64 {
+    later.since(earlier).0 as f64
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,213 @@
+//! Requests of callers: checks, rules, headers and bodies.
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
+use hyper::{
+    HeaderMap, Method, Request, StatusCode, Version,
+    body::{Frame, Incoming},
+    header::{self, HeaderName, HeaderValue},
+    http::request,
+};
+use tokio::time;
+
+use crate::{clock, connection, outcome, record};
+
+/// The largest body that is kept to be sent again, in bytes.
+pub const MAX_REPLAY: usize = 64 * 1024;
+
+/// Headers that belong to one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// How one request is treated.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Treatment {
+    /// How urgent it is.
+    pub class: record::Class,
+    /// Whether it may be run again after an unknown outcome.
+    pub idempotent: bool,
+    /// Whether its answer is an open feed.
+    pub feed: bool,
+    /// When its answer must have ended.
+    pub deadline: clock::Millis,
+}
+
+/// A request that can be sent again.
+#[derive(Clone, Debug)]
+pub struct Replay {
+    /// Method, target and headers.
+    pub parts: request::Parts,
+    /// The whole body.
+    pub body: Bytes,
+    /// How it is treated.
+    pub treatment: Treatment,
+}
+
+/// Body of a caller's request.
+#[derive(Debug)]
+pub enum Content {
+    /// Read to its end.
+    Whole(Bytes),
+    /// Longer than [`MAX_REPLAY`]: what was read, and the rest.
+    Partial(Bytes, Incoming),
+}
+
+/// How a request is treated by the rules in force.
+#[must_use]
+pub fn treatment(
+    service: &record::Service,
+    parts: &request::Parts,
+    now: clock::Millis,
+) -> Treatment {
+    let rule = service.rule(parts.method.as_str(), parts.uri.path());
+    let limit = rule.map_or(service.deadline, |rule| rule.deadline);
+    let asked = parts.headers.get(outcome::DEADLINE).and_then(millis);
+    let left = asked.map_or(limit, |asked| asked.min(limit));
+    Treatment {
+        class: rule.map_or(record::Class::default(), |rule| rule.class),
+        idempotent: rule.map_or(parts.method.is_safe(), |rule| rule.idempotent),
+        feed: rule.is_some_and(|rule| rule.feed),
+        deadline: now + left,
+    }
+}
+
+/// Refuses what could be framed in two ways or leaves HTTP.
+pub fn check(parts: &request::Parts) -> Result<(), StatusCode> {
+    let headers = &parts.headers;
+    if parts.method == Method::CONNECT {
+        return Err(StatusCode::NOT_IMPLEMENTED);
+    }
+    let is_coded = headers.contains_key(header::TRANSFER_ENCODING);
+    let lengths = headers.get_all(header::CONTENT_LENGTH).iter().count();
+    if lengths > 1 || (is_coded && lengths > 0) || !has_known_coding(headers) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    let hosts = headers.get_all(header::HOST).iter().count();
+    if hosts > 1 || (hosts == 0 && parts.version == Version::HTTP_11) {
+        return Err(StatusCode::BAD_REQUEST);
+    }
+    Ok(())
+}
+
+/// Removes the headers that belong to one connection.
+pub fn strip(headers: &mut HeaderMap) {
+    let listed: Vec<_> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
+        .filter(|name| !is_framing(name))
+        .collect();
+    for name in listed.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Reads a body until its end or until it is too long to be kept.
+///
+/// Returns the status that the caller gets if the body does not arrive.
+pub async fn read(body: Incoming, end: time::Instant) -> Result<Content, StatusCode> {
+    let reading = time::timeout_at(end, read_start(body)).await;
+    match reading {
+        Ok(Ok(content)) => Ok(content),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
+
+/// The request as it goes to the upstream, with the time that is left for it.
+#[must_use]
+pub fn forward(
+    parts: &request::Parts,
+    body: connection::RequestBody,
+    left: clock::Millis,
+) -> Request<connection::RequestBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = origin_form(&parts.uri);
+    *request.headers_mut() = parts.headers.clone();
+    let left = HeaderValue::from(left.0);
+    request.headers_mut().insert(outcome::DEADLINE, left);
+    request
+}
+
+impl Content {
+    /// The body for an upstream, which can be taken again if it is whole.
+    #[must_use]
+    pub fn body(&mut self) -> connection::RequestBody {
+        match self {
+            Self::Whole(bytes) => whole(bytes.clone()),
+            Self::Partial(..) => {
+                let taken = std::mem::replace(self, Self::Whole(Bytes::new()));
+                let Self::Partial(start, rest) = taken else {
+                    return whole(Bytes::new());
+                };
+                stream(start, rest)
+            }
+        }
+    }
+
+    /// The whole body, if it was kept.
+    #[must_use]
+    pub fn whole(&self) -> Option<&Bytes> {
+        match self {
+            Self::Whole(bytes) => Some(bytes),
+            Self::Partial(..) => None,
+        }
+    }
+}
+
+async fn read_start(mut body: Incoming) -> Result<Content, hyper::Error> {
+    let mut start = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            start.extend_from_slice(&data);
+        }
+        if start.len() > MAX_REPLAY {
+            return Ok(Content::Partial(start.freeze(), body));
+        }
+    }
+    Ok(Content::Whole(start.freeze()))
+}
+
+fn whole(bytes: Bytes) -> connection::RequestBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn stream(start: Bytes, rest: Incoming) -> connection::RequestBody {
+    let start = futures_util::stream::iter([Ok(Frame::data(start))]);
+    StreamBody::new(start.chain(BodyStream::new(rest))).boxed_unsync()
+}
+
+fn millis(value: &HeaderValue) -> Option<clock::Millis> {
+    value.to_str().ok()?.parse().ok().map(clock::Millis)
+}
+
+fn has_known_coding(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
+    codings
+        .next()
+        .is_none_or(|coding| coding.as_bytes().eq_ignore_ascii_case(b"chunked"))
+        && codings.next().is_none()
+}
+
+fn is_framing(name: &HeaderName) -> bool {
+    name == header::CONTENT_LENGTH || name == header::HOST
+}
+
+fn origin_form(uri: &hyper::Uri) -> hyper::Uri {
+    let target = uri.path_and_query().map_or("/", |target| target.as_str());
+    target.parse().unwrap_or_default()
+}
