--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,12 @@
 //! daemons under `src/bin` read sockets, call the library and carry its
 //! actions out.
 
+pub mod admission;
 pub mod announce;
+pub mod attempt;
+pub mod budget;
 pub mod clock;
+pub mod connection;
 pub mod displaced;
 pub mod endpoint;
 pub mod exchange;
@@ -16,8 +20,13 @@
 pub mod ident;
 pub mod member;
 pub mod membership;
+pub mod metrics;
+pub mod outcome;
 pub mod packet;
+pub mod queue;
 pub mod record;
+pub mod relay;
+pub mod request;
 pub mod seal;
 pub mod settings;
 pub mod stream;
