Add the agent daemon

It ends callers' flows in user space, runs their requests on its upstream, sends heartbeats to its watchers, pulls its view when a watcher's differs, states displaced flows and answers questions for their owner.

--- /dev/null
+++ b/src/bin/cassiacross-agent/app.rs
@@ -0,0 +1,136 @@
+//! Puts the daemon together and takes it down.
+
+use std::{
+    fs,
+    net::{SocketAddr, SocketAddrV4},
+    path::Path,
+    sync::{Arc, Mutex},
+};
+
+use anyhow::Context;
+use cassiacross::{clock, ident, member, seal, settings};
+use gotham::router::Router;
+use prometheus_client::registry::Registry;
+use serde::Serialize;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix,
+};
+
+use crate::{cli, control, counters, drain, http, packets, peers, shared};
+
+#[derive(Serialize)]
+struct Bound<'a> {
+    name: &'a str,
+    packets: SocketAddr,
+    http: SocketAddr,
+    local: SocketAddr,
+}
+
+/// Runs a command.
+pub(crate) fn run(command: cli::Command) -> anyhow::Result<()> {
+    match command {
+        cli::Command::CheckSettings(path) => {
+            read(&path)?;
+            println!("settings are whole");
+            Ok(())
+        }
+        cli::Command::Run(path) => serve(read(&path)?),
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<settings::Agent> {
+    let text =
+        fs::read_to_string(path).with_context(|| format!("{} cannot be read", path.display()))?;
+    Ok(settings::agent(&text)?)
+}
+
+fn serve(settings: settings::Agent) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .context("runtime cannot be made")?;
+    let result = runtime.block_on(serve_async(settings));
+    runtime.shutdown_background();
+    result
+}
+
+async fn serve_async(settings: settings::Agent) -> anyhow::Result<()> {
+    let name = settings.common.name.clone();
+    let socket = UdpSocket::bind(settings.packets).await.context("packets")?;
+    let http = TcpListener::bind(settings.common.http)
+        .await
+        .context("http")?;
+    let local = TcpListener::bind(settings.local).await.context("local")?;
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let bound = Bound {
+        name: &name,
+        packets: socket.local_addr()?,
+        http: http.local_addr()?,
+        local: local.local_addr()?,
+    };
+    let me = me(&settings, &bound)?;
+    let shared = shared(settings, socket, me);
+    tokio::spawn(packets::run(shared.clone()));
+    tokio::spawn(control::run(shared.clone(), peers::client()?));
+    tokio::spawn(serve_http(http, http::router(shared.clone())));
+    tokio::spawn(serve_http(local, http::local_router(shared.clone())));
+    println!("{}", serde_json::to_string(&bound)?);
+    log::info!(name = name; "agent runs");
+    terminate.recv().await;
+    drain::run(&shared, &mut terminate).await;
+    log::info!(name = name; "agent stops");
+    Ok(())
+}
+
+fn me(settings: &settings::Agent, bound: &Bound<'_>) -> anyhow::Result<member::Member> {
+    let common = &settings.common;
+    Ok(member::Member {
+        node: ident::NodeId::of(&common.name),
+        incarnation: ident::Incarnation::start(),
+        change: 0,
+        name: common.name.clone(),
+        service: String::new(),
+        domain: common.domain.clone(),
+        packets: settings
+            .advertise_packets
+            .map_or_else(|| v4(bound.packets), Ok)?,
+        http: common.advertise_http.map_or_else(|| v4(bound.http), Ok)?,
+        state: member::State::Starting,
+        step: 0,
+        watchers: Vec::new(),
+    })
+}
+
+fn shared(settings: settings::Agent, socket: UdpSocket, me: member::Member) -> shared::Shared {
+    let sealer = seal::Sealer::new(&settings.common.fleet_key);
+    let counters = counters::Counters::default();
+    let mut registry = Registry::with_prefix("cassiacross_agent");
+    counters.register(&mut registry);
+    shared::Shared(Arc::new(shared::Inner {
+        settings,
+        clock: clock::Clock::new(),
+        seed: sealer.seed(),
+        sealer,
+        socket,
+        flows: Mutex::default(),
+        views: Mutex::default(),
+        me: Mutex::new(me),
+        local: Mutex::default(),
+        pull: Mutex::default(),
+        counters,
+        registry: Mutex::new(registry),
+    }))
+}
+
+fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
+    match addr {
+        SocketAddr::V4(addr) => Ok(addr),
+        SocketAddr::V6(addr) => anyhow::bail!("{addr} is not an IPv4 address"),
+    }
+}
+
+async fn serve_http(listener: TcpListener, router: Router) {
+    gotham::bind_server(listener, router, |stream| std::future::ready(Ok(stream))).await;
+}
--- /dev/null
+++ b/src/bin/cassiacross-agent/http.rs
@@ -0,0 +1,148 @@
+//! HTTP for operators, the fabric and the upstream.
+
+use cassiacross::{announce, clock, flow, member, record, relay};
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::Body,
+    hyper::{Response, StatusCode},
+    middleware::state::StateMiddleware,
+    mime,
+    pipeline::{new_pipeline, single_pipeline},
+    prelude::*,
+    router::{Router, builder::build_router},
+    state::State,
+};
+use http_body_util::{BodyExt, Limited};
+use serde::Serialize;
+
+use crate::shared::{Shared, lock};
+
+/// The routes for operators.
+pub(crate) fn router(shared: Shared) -> Router {
+    let middleware = StateMiddleware::new(shared);
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
+    build_router(chain, pipelines, |route| {
+        route.get("/ready").to(ready);
+        route.get("/state").to(state);
+        route.get("/metrics").to(metrics);
+    })
+}
+
+/// The routes for the upstream, on a loopback address.
+pub(crate) fn local_router(shared: Shared) -> Router {
+    let middleware = StateMiddleware::new(shared);
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
+    build_router(chain, pipelines, |route| {
+        route.post("/announce").to_async(announced);
+    })
+}
+
+fn ready(state: State) -> (State, Response<Body>) {
+    let ready = Shared::borrow_from(&state).decision().accepts;
+    if ready {
+        respond(state, (StatusCode::OK, mime::TEXT_PLAIN, "ready\n"))
+    } else {
+        respond(
+            state,
+            (
+                StatusCode::SERVICE_UNAVAILABLE,
+                mime::TEXT_PLAIN,
+                "not ready\n",
+            ),
+        )
+    }
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let mut text = String::new();
+    let encoded = {
+        let registry = lock(&Shared::borrow_from(&state).registry);
+        prometheus_client::encoding::text::encode(&mut text, &registry)
+    };
+    match encoded {
+        Ok(()) => respond(state, (StatusCode::OK, mime::TEXT_PLAIN_UTF_8, text)),
+        Err(_) => respond(
+            state,
+            (StatusCode::INTERNAL_SERVER_ERROR, mime::TEXT_PLAIN, ""),
+        ),
+    }
+}
+
+#[derive(Serialize)]
+struct Dump {
+    now: clock::Millis,
+    member: member::Member,
+    accepts: bool,
+    room: bool,
+    upstream: Option<announce::Announcement>,
+    counts: Option<relay::Counts>,
+    version: u64,
+    service: Option<record::Service>,
+    members: Vec<member::Member>,
+    balancers: Vec<member::Balancer>,
+    flows: flow::Table,
+}
+
+fn state(state: State) -> (State, Response<Body>) {
+    let dump = dump(Shared::borrow_from(&state));
+    match serde_json::to_string_pretty(&dump) {
+        Ok(text) => respond(state, (StatusCode::OK, mime::APPLICATION_JSON, text)),
+        Err(_) => respond(
+            state,
+            (StatusCode::INTERNAL_SERVER_ERROR, mime::TEXT_PLAIN, ""),
+        ),
+    }
+}
+
+fn dump(shared: &Shared) -> Dump {
+    let decision = shared.decision();
+    let upstream = lock(&shared.local).announcement.clone();
+    let views = lock(&shared.views).clone();
+    Dump {
+        now: shared.now(),
+        member: lock(&shared.me).clone(),
+        accepts: decision.accepts,
+        room: decision.room,
+        upstream,
+        counts: shared.relay().map(|relay| relay.counts()),
+        version: views.version(),
+        service: views.service().cloned(),
+        members: views.members().to_vec(),
+        balancers: views.balancers().to_vec(),
+        flows: lock(&shared.flows).table.clone(),
+    }
+}
+
+async fn announced(mut state: State) -> HandlerResult {
+    let body = Limited::new(Body::take_from(&mut state), announce::MAX_LEN);
+    let Ok(body) = body.collect().await else {
+        let answer = (
+            StatusCode::PAYLOAD_TOO_LARGE,
+            mime::TEXT_PLAIN,
+            "announcement is too long\n",
+        );
+        return Ok(respond(state, answer));
+    };
+    match announce::parse(&body.to_bytes()) {
+        Ok(announcement) => {
+            Shared::borrow_from(&state).announce(&announcement);
+            Ok(respond(
+                state,
+                (StatusCode::NO_CONTENT, mime::TEXT_PLAIN, ""),
+            ))
+        }
+        Err(error) => {
+            let answer = (
+                StatusCode::BAD_REQUEST,
+                mime::TEXT_PLAIN,
+                format!("{error}\n"),
+            );
+            Ok(respond(state, answer))
+        }
+    }
+}
+
+fn respond(state: State, answer: impl IntoResponse) -> (State, Response<Body>) {
+    let response = answer.into_response(&state);
+    (state, response)
+}
--- /dev/null
+++ b/src/bin/cassiacross-agent/main.rs
@@ -0,0 +1,27 @@
+//! The agent daemon: ends callers' flows beside one upstream.
+
+mod app;
+mod cli;
+mod control;
+mod counters;
+mod drain;
+mod http;
+mod packets;
+mod peers;
+mod shared;
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match app::run(cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cassiacross-agent: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -0,0 +1,220 @@
+//! What the agent's tasks share.
+
+use std::{
+    net::SocketAddr,
+    panic::RefUnwindSafe,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use cassiacross::{
+    announce, budget, clock, flow, header, ident, member, packet, queue, record, relay, seal,
+    settings, stream, views,
+};
+use gotham::state::StateData;
+use prometheus_client::registry::Registry;
+use tokio::net::UdpSocket;
+
+use crate::counters;
+
+/// Flows with their endpoints; both tables are sorted by flow.
+#[derive(Default)]
+pub(crate) struct Flows {
+    pub(crate) table: flow::Table,
+    pub(crate) open: Vec<Open>,
+}
+
+/// An open endpoint.
+#[derive(Clone)]
+pub(crate) struct Open {
+    pub(crate) flow: packet::Flow,
+    pub(crate) handle: stream::Handle,
+    /// Where answers go: the fabric's address of the last packet.
+    pub(crate) fabric: Arc<Mutex<std::net::SocketAddrV4>>,
+}
+
+/// The upstream as it was last announced.
+#[derive(Default)]
+pub(crate) struct Local {
+    pub(crate) announcement: Option<announce::Announcement>,
+    pub(crate) announced: clock::Millis,
+    pub(crate) relay: Option<Arc<relay::Upstream>>,
+    pub(crate) stopping: bool,
+}
+
+pub(crate) struct Inner {
+    pub(crate) settings: settings::Agent,
+    pub(crate) clock: clock::Clock,
+    pub(crate) sealer: seal::Sealer,
+    pub(crate) seed: u64,
+    pub(crate) socket: UdpSocket,
+    pub(crate) flows: Mutex<Flows>,
+    pub(crate) views: Mutex<views::Views>,
+    pub(crate) me: Mutex<member::Member>,
+    pub(crate) local: Mutex<Local>,
+    /// A balancer whose view differs from the one held here.
+    pub(crate) pull: Mutex<Option<std::net::SocketAddrV4>>,
+    pub(crate) counters: counters::Counters,
+    pub(crate) registry: Mutex<Registry>,
+}
+
+/// Handle of the shared state; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct Shared(pub(crate) Arc<Inner>);
+
+impl RefUnwindSafe for Shared {}
+impl StateData for Shared {}
+
+impl std::ops::Deref for Shared {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.0
+    }
+}
+
+impl Inner {
+    pub(crate) fn now(&self) -> clock::Millis {
+        self.clock.now()
+    }
+
+    /// The agent as others address it.
+    pub(crate) fn hop(&self) -> header::Hop {
+        lock(&self.me).hop()
+    }
+
+    /// What the agent is at this moment, for a decision on a packet.
+    pub(crate) fn decision(&self) -> flow::Local {
+        let (hop, service, ready) = {
+            let me = lock(&self.me);
+            let service = ident::ServiceId::of(&me.service);
+            (me.hop(), service, me.state == member::State::Ready)
+        };
+        let (address, weight) = self.in_force();
+        let relay = self.relay();
+        flow::Local {
+            hop,
+            service,
+            address,
+            accepts: ready && weight > 0.0 && relay.is_some(),
+            room: relay.is_some_and(|relay| relay.has_room()),
+            convergence: self.convergence(),
+        }
+    }
+
+    /// Time that the tables of all processes take to agree.
+    pub(crate) fn convergence(&self) -> clock::Millis {
+        const PERIODS: u64 = 10;
+        clock::Millis(self.settings.common.period.0 * PERIODS)
+    }
+
+    pub(crate) fn relay(&self) -> Option<Arc<relay::Upstream>> {
+        lock(&self.local).relay.clone()
+    }
+
+    /// Takes an announcement of the upstream.
+    pub(crate) fn announce(&self, announcement: &announce::Announcement) {
+        let mut local = lock(&self.local);
+        local.announced = self.now();
+        let known = local.announcement.replace(announcement.clone());
+        drop(local);
+        if known.as_ref() == Some(announcement) {
+            return;
+        }
+        log::info!(
+            service = announcement.service, state:? = announcement.state;
+            "upstream announces itself"
+        );
+        self.follow(announcement);
+        self.set_state(announcement.state);
+        self.connect(announcement);
+    }
+
+    /// Puts the upstream's state into the agent's own entry.
+    ///
+    /// Ready after draining is a new incarnation, since draining never goes back.
+    pub(crate) fn set_state(&self, state: member::State) {
+        let stopping = lock(&self.local).stopping;
+        let state = if stopping {
+            member::State::Draining
+        } else {
+            state
+        };
+        let mut me = lock(&self.me);
+        if me.state == state {
+            return;
+        }
+        if me.state == member::State::Draining {
+            me.incarnation = ident::Incarnation::start();
+            me.change = 0;
+        }
+        me.state = state;
+        me.change += 1;
+        log::info!(state:? = state; "agent changes its state");
+    }
+
+    /// Makes or updates the relay once upstream and record are known.
+    pub(crate) fn connect(&self, announcement: &announce::Announcement) {
+        let Some(service) = lock(&self.views).service().cloned() else {
+            return;
+        };
+        let mut local = lock(&self.local);
+        let limits = queue::Limits {
+            slots: announcement.slots,
+            connections: announcement.connections,
+        };
+        match &local.relay {
+            Some(relay) if !relay.is_draining() || local.stopping => {
+                relay.set_upstream(announcement.address, limits);
+                relay.set_service(service);
+            }
+            _ => {
+                let relay = Arc::new(self.new_relay(announcement.address, limits, service));
+                relay.register(&mut lock(&self.registry));
+                local.relay = Some(relay);
+            }
+        }
+        if announcement.state == member::State::Draining
+            && let Some(relay) = &local.relay
+        {
+            relay.drain();
+        }
+    }
+
+    fn follow(&self, announcement: &announce::Announcement) {
+        let mut me = lock(&self.me);
+        if me.service != announcement.service {
+            me.service.clone_from(&announcement.service);
+            me.change += 1;
+        }
+    }
+
+    fn new_relay(
+        &self,
+        address: SocketAddr,
+        limits: queue::Limits,
+        service: record::Service,
+    ) -> relay::Upstream {
+        relay::Upstream::new(relay::Options {
+            address,
+            limits,
+            policy: queue::Policy::default(),
+            service,
+            budget: budget::Budget::new(self.now()),
+            retry: None,
+            seed: rand::random(),
+            clock: self.clock,
+        })
+    }
+
+    fn in_force(&self) -> (Option<std::net::SocketAddrV4>, f64) {
+        let views = lock(&self.views);
+        let name = &self.settings.common.name;
+        let weight = views.service().map_or(0.0, |service| service.weight(name));
+        (views.address(), weight)
+    }
+}
+
+/// Locks a mutex whose data stays whole across a panic.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod record;
 pub mod relay;
 pub mod request;
+pub mod reset;
 pub mod seal;
 pub mod settings;
 pub mod stream;
