Add the fabric stand-in and resets of unknown flows

Callers' TCP connections become user-space flows, and each of their packets goes to a random balancer that is ready, so that tests drive the path with packets sprayed as the platform's fabric does. Faults of each direction are seeded. A flow that breaks resets its TCP connection, so that the HTTP client sees it, and is counted apart from refused ones. Each fabric draws callers from its own start, so two of them before one fleet do not share flows.

A packet of a flow that is gone is answered with a reset, as a host does; the packet is made in the library, since agents need it too.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -106,6 +106,7 @@
     lapse: Option<clock::Millis>,
     tail: Vec<u8>,
     closing: bool,
+    opened: bool,
     finned: bool,
     end: Option<End>,
 }
@@ -310,6 +311,12 @@
         self.end.is_none() && !is_half_open(self.state())
     }
 
+    /// Whether the handshake ended at some time, also if the flow has ended since.
+    #[must_use]
+    pub const fn was_open(&self) -> bool {
+        self.opened
+    }
+
     /// Whether both ends have closed, and this one only waits for packets underway.
     #[must_use]
     pub fn lingering(&self) -> bool {
@@ -351,6 +358,7 @@
             lapse: Some(now + options.handshake),
             tail: Vec::new(),
             closing: false,
+            opened: false,
             finned: false,
             end: None,
         }
@@ -413,7 +421,9 @@
     /// Notes what the last packet or timer did to the socket.
     fn observe(&mut self, before: tcp::State, cause: Cause) {
         let after = self.state();
-        if is_half_open(before) && !is_half_open(after) {
+        let is_open = !is_half_open(after) && after != tcp::State::Closed;
+        if is_half_open(before) && is_open {
+            self.opened = true;
             self.lapse = None;
         }
         if is_finned(after) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod member;
 pub mod packet;
 pub mod record;
+pub mod reset;
 pub mod seal;
 pub mod settings;
 pub mod stream;
--- /dev/null
+++ b/standins/src/fabric/http.rs
@@ -0,0 +1,63 @@
+//! The fabric's control calls.
+
+use std::sync::Arc;
+
+use hyper::{Method, StatusCode};
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::{Balancer, FaultChange, Service, Shared, Status, lock};
+use crate::control::{self, Call, Reply};
+
+/// Answers control calls until the listener fails.
+pub(super) async fn serve(listener: TcpListener, shared: Arc<Shared>) {
+    let served = control::serve(listener, move |call| answer(call, &shared)).await;
+    if let Err(error) = served {
+        log::error!(error:%; "control port failed");
+    }
+}
+
+fn answer(call: &Call, shared: &Shared) -> Reply {
+    let answered = match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/balancers") => Ok(balancers(shared)),
+        (&Method::POST, "/balancers") => set_balancers(call, shared),
+        (&Method::GET, "/services") => Ok(services(shared)),
+        (&Method::POST, "/services") => add_services(call, shared),
+        (&Method::POST, "/faults") => set_faults(call, shared),
+        (&Method::GET, "/counters") => Ok(Reply::ok(shared.counters())),
+        _ => Ok(Reply::not_found()),
+    };
+    answered.unwrap_or_else(|refusal| refusal)
+}
+
+fn balancers(shared: &Shared) -> Reply {
+    let listed: Vec<Status> = shared.router().listed().cloned().collect();
+    Reply::ok(listed)
+}
+
+fn set_balancers(call: &Call, shared: &Shared) -> Result<Reply, Reply> {
+    let list: Vec<Balancer> = call.json()?;
+    shared.router().list(&list);
+    Ok(balancers(shared))
+}
+
+fn services(shared: &Shared) -> Reply {
+    Reply::ok(&*lock(&shared.ports))
+}
+
+fn add_services(call: &Call, shared: &Shared) -> Result<Reply, Reply> {
+    let list: Vec<Service> = call.json()?;
+    for service in list {
+        shared.open(service).map_err(|error| Reply {
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            value: json!({"error": error.to_string()}),
+        })?;
+    }
+    Ok(services(shared))
+}
+
+fn set_faults(call: &Call, shared: &Shared) -> Result<Reply, Reply> {
+    let change: FaultChange = call.json()?;
+    shared.set_faults(&change);
+    Ok(Reply::ok(change))
+}
--- /dev/null
+++ b/tests/reset.rs
@@ -0,0 +1,68 @@
+//! Resets of unknown flows, judged by the endpoint that gets them.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cassiacross::{
+    clock,
+    endpoint::{self, Endpoint, Error},
+    packet, reset,
+};
+
+const FLOW: packet::Flow = packet::Flow {
+    caller: SocketAddrV4::new(Ipv4Addr::new(10, 77, 0, 1), 40_000),
+    service: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), 80),
+};
+const NOW: clock::Millis = clock::Millis(0);
+
+fn poll(end: &mut Endpoint) -> Vec<Vec<u8>> {
+    let mut sent = Vec::new();
+    end.poll(NOW, &mut |packet| sent.push(packet.to_vec()));
+    sent
+}
+
+fn deliver(end: &mut Endpoint, packets: &[Vec<u8>]) -> Vec<Vec<u8>> {
+    let mut sent = Vec::new();
+    for packet in packets {
+        let _ = end.deliver(packet, NOW, &mut |packet| sent.push(packet.to_vec()));
+    }
+    sent
+}
+
+fn answers(packets: &[Vec<u8>]) -> Vec<Vec<u8>> {
+    packets
+        .iter()
+        .filter_map(|packet| reset::answer(packet))
+        .collect()
+}
+
+#[test]
+fn reset_of_opening_packet_is_accepted() {
+    let mut caller = Endpoint::connect(FLOW, endpoint::Options::default(), 1, NOW);
+    let answers = answers(&poll(&mut caller));
+    deliver(&mut caller, &answers);
+    assert_eq!(caller.failure(), Some(Error::Reset));
+}
+
+#[test]
+fn reset_of_data_is_accepted() {
+    let options = endpoint::Options::default();
+    let mut caller = Endpoint::connect(FLOW, options, 1, NOW);
+    let mut service = Endpoint::accept(FLOW, options, 2, NOW);
+    let opening = poll(&mut caller);
+    let answer = deliver(&mut service, &opening);
+    deliver(&mut caller, &answer);
+    assert!(caller.established());
+    assert!(caller.write(b"x").is_ready());
+    let answers = answers(&poll(&mut caller));
+    deliver(&mut caller, &answers);
+    assert_eq!(caller.failure(), Some(Error::Reset));
+}
+
+#[test]
+fn reset_is_not_answered() {
+    let mut caller = Endpoint::connect(FLOW, endpoint::Options::default(), 1, NOW);
+    let first = answers(&poll(&mut caller));
+    assert_eq!(first.len(), 1);
+    assert!(answers(&first).is_empty());
+    assert_eq!(reset::answer(b"no packet"), None);
+}
