--- a/src/bin/cassiacross-agent/packets.rs
+++ b/src/bin/cassiacross-agent/packets.rs
@@ -123,7 +123,7 @@
         }
         flow::Action::Ask => ask(shared, view.flow),
         flow::Action::Refuse | flow::Action::Reset => {
-            if let Some(answer) = reset::answer(&view) {
+            if let Some(answer) = reset::answer(bytes) {
                 answer_to(shared, header.fabric, &answer);
             }
         }
--- a/src/reset.rs
+++ b/src/reset.rs
@@ -1,76 +1,67 @@
-//! Reset packets for flows that no endpoint has.
+//! Resets of flows that no endpoint knows (RFC 9293, section 3.10.7.1).
 
-use std::net::SocketAddrV4;
-
-use smoltcp::{
-    phy::ChecksumCapabilities,
-    wire::{self, TcpControl},
-};
+use smoltcp::{phy, wire};
 
 use crate::packet;
 
 const HOP_LIMIT: u8 = 64;
 
-/// The reset that answers a packet, from the service to the caller (RFC 9293, section 3.10.7.1).
+/// The RST packet that answers a packet of an unknown flow.
 ///
-/// `None` for a packet that is a reset itself.
+/// None where the packet is not of TCP or is a reset itself.
 #[must_use]
-pub fn answer(view: &packet::View) -> Option<Vec<u8>> {
+pub fn answer(bytes: &[u8]) -> Option<Vec<u8>> {
+    let view = packet::parse(bytes).ok()?;
     if view.reset {
         return None;
     }
-    let tcp = segment(view);
-    let ip = wire::Ipv4Repr {
-        src_addr: *view.flow.service.ip(),
-        dst_addr: *view.flow.caller.ip(),
+    let ip = wire::Ipv4Packet::new_checked(bytes).ok()?;
+    let tcp = wire::TcpPacket::new_checked(ip.payload()).ok()?;
+    let segment = segment(&view, &tcp);
+    let header = wire::Ipv4Repr {
+        src_addr: ip.dst_addr(),
+        dst_addr: ip.src_addr(),
         next_header: wire::IpProtocol::Tcp,
-        payload_len: tcp.buffer_len(),
+        payload_len: segment.buffer_len(),
         hop_limit: HOP_LIMIT,
     };
-    let checksums = ChecksumCapabilities::default();
-    let mut bytes = vec![0; ip.buffer_len() + tcp.buffer_len()];
-    ip.emit(&mut wire::Ipv4Packet::new_unchecked(&mut bytes), &checksums);
-    tcp.emit(
-        &mut wire::TcpPacket::new_unchecked(&mut bytes[ip.buffer_len()..]),
-        &address(view.flow.service),
-        &address(view.flow.caller),
-        &checksums,
-    );
-    Some(bytes)
+    Some(emit(&header, &segment))
 }
 
-fn segment(view: &packet::View) -> wire::TcpRepr<'static> {
-    let (seq, ack) = match view.ack {
-        Some(ack) => (sequence(ack), None),
-        None => (sequence(0), Some(sequence(next(view)))),
+fn segment(view: &packet::View, tcp: &wire::TcpPacket<&[u8]>) -> wire::TcpRepr<'static> {
+    let (seq_number, ack_number) = if view.ack.is_some() {
+        (tcp.ack_number(), None)
+    } else {
+        let after = tcp.seq_number() + tcp.segment_len();
+        (wire::TcpSeqNumber(0), Some(after))
     };
     wire::TcpRepr {
-        src_port: view.flow.service.port(),
-        dst_port: view.flow.caller.port(),
-        control: TcpControl::Rst,
-        seq_number: seq,
-        ack_number: ack,
+        src_port: tcp.dst_port(),
+        dst_port: tcp.src_port(),
+        control: wire::TcpControl::Rst,
+        seq_number,
+        ack_number,
         window_len: 0,
         window_scale: None,
         max_seg_size: None,
         sack_permitted: false,
-        sack_ranges: [None, None, None],
+        sack_ranges: [None; 3],
         timestamp: None,
         payload: &[],
     }
 }
 
-fn next(view: &packet::View) -> u32 {
-    let len = u32::try_from(view.len).unwrap_or(u32::MAX);
-    view.seq
-        .wrapping_add(len)
-        .wrapping_add(u32::from(view.opening))
-}
-
-const fn sequence(number: u32) -> wire::TcpSeqNumber {
-    wire::TcpSeqNumber(number.cast_signed())
-}
-
-fn address(end: SocketAddrV4) -> wire::IpAddress {
-    wire::IpAddress::Ipv4(*end.ip())
+fn emit(header: &wire::Ipv4Repr, segment: &wire::TcpRepr<'_>) -> Vec<u8> {
+    let checksums = phy::ChecksumCapabilities::default();
+    let mut bytes = vec![0; header.buffer_len() + header.payload_len];
+    let mut ip = wire::Ipv4Packet::new_unchecked(&mut bytes);
+    header.emit(&mut ip, &checksums);
+    let mut tcp = wire::TcpPacket::new_unchecked(ip.payload_mut());
+    segment.emit(
+        &mut tcp,
+        &header.src_addr.into(),
+        &header.dst_addr.into(),
+        &checksums,
+    );
+    bytes
 }
