Read records of both schemas and keep them in a versioned table

Cause: operators' records need checks that name every fault at once, two schemas side by side, and a table that never goes back to an older version. Ruled out: one version per record in the table. With a held (too new or faulty) version seen first, a later good one with a lower version would be dropped or not depending on the order of delivery; the table therefore keeps the highest version seen and the highest one that is readable.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,9 @@
 //! actions out.
 
 pub mod clock;
+pub mod config;
+pub mod drain;
+pub mod fields;
 pub mod gue;
 pub mod header;
 pub mod ident;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,31 +3,18 @@
 //! All faults are gathered, each with the path of its field, so that an
 //! operator mends a file in one pass.
 
-use std::{
-    fmt,
-    net::{SocketAddr, SocketAddrV4},
-    str::FromStr,
-};
+use std::net::{SocketAddr, SocketAddrV4};
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 use thiserror::Error;
 
-use crate::clock;
+use crate::{clock, fields};
 
 const MIN_SECRET_LEN: usize = 16;
 const MIN_PERIOD: clock::Millis = clock::Millis(20);
 const MAX_PERIOD: clock::Millis = clock::Millis(60_000);
 const DEFAULT_PERIOD: clock::Millis = clock::Millis(1_000);
 
-/// One fault of a settings file.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Fault {
-    /// Path of the field, such as `advertise.http`.
-    pub path: String,
-    /// What is wrong with it.
-    pub what: String,
-}
-
 /// Why settings were refused.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -35,8 +22,8 @@
     #[error("settings are not JSON: {0}")]
     Json(#[from] serde_json::Error),
     /// Fields are missing, unknown or wrong.
-    #[error("settings have faults:{}", list(.0))]
-    Faults(Vec<Fault>),
+    #[error("settings have faults:{}", fields::list(.0))]
+    Faults(Vec<fields::Fault>),
 }
 
 /// Settings of a balancer.
@@ -91,17 +78,18 @@
 /// Reads and checks a balancer's settings.
 pub fn balancer(text: &str) -> Result<Balancer, Error> {
     let root = serde_json::from_str(text)?;
-    let mut reader = Reader::new(&root, "");
+    let mut reader = fields::Reader::new(&root, "");
     let common = common(&mut reader);
     let packets = reader.parsed("packets");
     let control = reader.parsed("control");
-    let platform = reader.url("platform");
+    let platform = url(&mut reader, "platform");
     let mut advertise = reader.object("advertise");
     let advertise_control = advertise.optional("control");
     let advertise_http = advertise.optional("http");
     reader.absorb(advertise);
-    let (common, packets, control, platform) =
-        reader.finish(|| Some((common?, packets?, control?, platform?)))?;
+    let (common, packets, control, platform) = reader
+        .finish(|| Some((common?, packets?, control?, platform?)))
+        .map_err(Error::Faults)?;
     Ok(Balancer {
         common: Common {
             advertise_http,
@@ -117,15 +105,17 @@
 /// Reads and checks an agent's settings.
 pub fn agent(text: &str) -> Result<Agent, Error> {
     let root = serde_json::from_str(text)?;
-    let mut reader = Reader::new(&root, "");
+    let mut reader = fields::Reader::new(&root, "");
     let common = common(&mut reader);
     let packets = reader.parsed("packets");
-    let local = reader.loopback("local");
+    let local = loopback(&mut reader, "local");
     let mut advertise = reader.object("advertise");
     let advertise_packets = advertise.optional("packets");
     let advertise_http = advertise.optional("http");
     reader.absorb(advertise);
-    let (common, packets, local) = reader.finish(|| Some((common?, packets?, local?)))?;
+    let (common, packets, local) = reader
+        .finish(|| Some((common?, packets?, local?)))
+        .map_err(Error::Faults)?;
     Ok(Agent {
         common: Common {
             advertise_http,
@@ -137,14 +127,14 @@
     })
 }
 
-fn common(reader: &mut Reader<'_>) -> Option<Common> {
+fn common(reader: &mut fields::Reader<'_>) -> Option<Common> {
     let name = reader.text("name", 1);
     let domain = reader.text("domain", 1);
     let http = reader.parsed("http");
     let seeds = reader.list("seeds");
     let fleet_key = reader.text("fleet_key", MIN_SECRET_LEN);
     let operator_token = reader.text("operator_token", MIN_SECRET_LEN);
-    let period = reader.period("period_ms");
+    let period = period(reader);
     Some(Common {
         name: name?,
         domain: domain?,
@@ -157,184 +147,25 @@
     })
 }
 
-struct Reader<'a> {
-    prefix: String,
-    fields: Option<&'a Map<String, Value>>,
-    known: Vec<&'static str>,
-    faults: Vec<Fault>,
-}
-
-impl<'a> Reader<'a> {
-    fn new(value: &'a Value, prefix: &str) -> Self {
-        let mut reader = Self {
-            prefix: prefix.to_owned(),
-            fields: value.as_object(),
-            known: Vec::new(),
-            faults: Vec::new(),
-        };
-        if reader.fields.is_none() {
-            reader.fault("", "must be an object");
-        }
-        reader
-    }
-
-    fn object(&mut self, name: &'static str) -> Self {
-        match self.value(name) {
-            Some(value) => Self::new(value, &self.path(name)),
-            None => Self {
-                prefix: self.path(name),
-                fields: None,
-                known: Vec::new(),
-                faults: Vec::new(),
-            },
-        }
-    }
-
-    fn absorb(&mut self, other: Self) {
-        self.faults.extend(other.into_faults());
-    }
-
-    fn finish<T>(self, value: impl FnOnce() -> Option<T>) -> Result<T, Error> {
-        let faults = self.into_faults();
-        match value() {
-            Some(value) if faults.is_empty() => Ok(value),
-            _ => Err(Error::Faults(faults)),
-        }
-    }
-
-    fn into_faults(mut self) -> Vec<Fault> {
-        let unknown: Vec<_> = self
-            .fields
-            .into_iter()
-            .flat_map(Map::keys)
-            .filter(|name| !self.known.contains(&name.as_str()))
-            .cloned()
-            .collect();
-        for name in unknown {
-            self.fault(&name, "is not a known field");
-        }
-        self.faults
-    }
-
-    fn value(&mut self, name: &'static str) -> Option<&'a Value> {
-        self.known.push(name);
-        self.fields.and_then(|fields| fields.get(name))
-    }
-
-    fn text(&mut self, name: &'static str, min_len: usize) -> Option<String> {
-        let text = self.value(name).and_then(Value::as_str);
-        match text {
-            Some(text) if text.len() >= min_len => return Some(text.to_owned()),
-            Some(_) => self.fault(name, &format!("must have {min_len} characters or more")),
-            None => self.fault(name, "must be a text"),
-        }
-        None
-    }
-
-    fn parsed<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
-        let value = self.value(name);
-        let parsed = value.and_then(parse);
-        if parsed.is_none() {
-            self.fault(
-                name,
-                "must be an IP number with a port, such as \"10.0.0.1:7000\"",
-            );
-        }
-        parsed
-    }
-
-    fn optional<T: FromStr>(&mut self, name: &'static str) -> Option<T> {
-        if self.fields.is_some_and(|fields| fields.contains_key(name)) {
-            return self.parsed(name);
-        }
-        self.known.push(name);
-        None
-    }
-
-    fn list<T: FromStr>(&mut self, name: &'static str) -> Vec<T> {
-        let Some(value) = self.value(name) else {
-            return Vec::new();
-        };
-        let Some(items) = value.as_array() else {
-            self.fault(name, "must be a list");
-            return Vec::new();
-        };
-        let mut parsed = Vec::with_capacity(items.len());
-        for (index, item) in items.iter().enumerate() {
-            match parse(item) {
-                Some(item) => parsed.push(item),
-                None => self.fault(
-                    &format!("{name}[{index}]"),
-                    "must be an IP number with a port",
-                ),
-            }
-        }
-        parsed
-    }
-
-    fn url(&mut self, name: &'static str) -> Option<String> {
-        let url = self.value(name).and_then(Value::as_str);
-        let url = url.filter(|url| url.starts_with("http://"));
-        if url.is_none() {
-            self.fault(name, "must be a URL that starts with http://");
-        }
-        url.map(|url| url.trim_end_matches('/').to_owned())
-    }
-
-    fn loopback(&mut self, name: &'static str) -> Option<SocketAddr> {
-        let addr: SocketAddr = self.parsed(name)?;
-        if addr.ip().is_loopback() {
-            return Some(addr);
-        }
-        self.fault(name, "must be a loopback address");
-        None
-    }
-
-    fn period(&mut self, name: &'static str) -> clock::Millis {
-        let Some(value) = self.value(name) else {
-            return DEFAULT_PERIOD;
-        };
-        let period = value.as_u64().map(clock::Millis);
-        match period {
-            Some(period) if (MIN_PERIOD..=MAX_PERIOD).contains(&period) => period,
-            _ => {
-                self.fault(
-                    name,
-                    &format!("must be a number from {} to {}", MIN_PERIOD.0, MAX_PERIOD.0),
-                );
-                DEFAULT_PERIOD
-            }
-        }
-    }
-
-    fn fault(&mut self, name: &str, what: &str) {
-        let path = self.path(name);
-        self.faults.push(Fault {
-            path,
-            what: what.to_owned(),
-        });
-    }
-
-    fn path(&self, name: &str) -> String {
-        if self.prefix.is_empty() {
-            name.to_owned()
-        } else {
-            format!("{}.{name}", self.prefix)
-        }
+fn url(reader: &mut fields::Reader<'_>, name: &'static str) -> Option<String> {
+    let url = reader.value(name).and_then(Value::as_str);
+    let url = url.filter(|url| url.starts_with("http://"));
+    if url.is_none() {
+        reader.fault(name, "must be a URL that starts with http://");
     }
+    url.map(|url| url.trim_end_matches('/').to_owned())
 }
 
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} {}", self.path, self.what)
+fn loopback(reader: &mut fields::Reader<'_>, name: &'static str) -> Option<SocketAddr> {
+    let addr: SocketAddr = reader.parsed(name)?;
+    if addr.ip().is_loopback() {
+        return Some(addr);
     }
+    reader.fault(name, "must be a loopback address");
+    None
 }
 
-fn parse<T: FromStr>(value: &Value) -> Option<T> {
-    value.as_str().and_then(|text| text.parse().ok())
-}
-
-fn list(faults: &[Fault]) -> String {
-    let lines: Vec<_> = faults.iter().map(|fault| format!("\n  {fault}")).collect();
-    lines.concat()
+fn period(reader: &mut fields::Reader<'_>) -> clock::Millis {
+    let range = MIN_PERIOD.0..=MAX_PERIOD.0;
+    clock::Millis(reader.number("period_ms", range, DEFAULT_PERIOD.0))
 }
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,114 @@
+//! The table of records: highest version wins, whatever the order of delivery.
+
+use cassiacross::config;
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+const NAMES: [&str; 2] = ["ledger", "sheets"];
+
+fn good(port: u64) -> Value {
+    json!({"schema": 2, "address": format!("10.9.0.1:{port}")})
+}
+
+#[test]
+fn unreadable_records_are_held() {
+    let mut table = config::Table::default();
+    assert_eq!(table.apply("ledger", 3, &good(80)), config::Effect::InForce);
+    assert_eq!(
+        table.apply("ledger", 5, &json!({"schema": 9})),
+        config::Effect::Held
+    );
+    assert_eq!(
+        table.apply("ledger", 6, &json!({"schema": 2})),
+        config::Effect::Held
+    );
+    let standing = table.standings().next().expect("one record");
+    assert_eq!((standing.seen, standing.in_force), (6, 3));
+    assert!(
+        standing
+            .fault
+            .is_some_and(|fault| fault.contains("address must"))
+    );
+    assert_eq!(table.services().len(), 1);
+    assert_eq!(table.apply("ledger", 4, &good(81)), config::Effect::InForce);
+    assert_eq!(
+        table.service("ledger").expect("in force").address.port(),
+        81
+    );
+}
+
+#[test]
+fn deletion_is_not_undone_by_an_older_record() {
+    let mut table = config::Table::default();
+    table.apply("ledger", 7, &json!({"deleted": true}));
+    assert_eq!(table.apply("ledger", 6, &good(80)), config::Effect::Old);
+    assert_eq!(table.services(), []);
+    table.apply("ledger", 8, &good(80));
+    assert_eq!(table.services().len(), 1);
+}
+
+#[test]
+fn peers_name_what_is_missing() {
+    let mut old = config::Table::default();
+    old.apply("ledger", 1, &good(80));
+    let mut new = config::Table::default();
+    new.apply("ledger", 2, &good(81));
+    new.apply("ledger", 3, &json!({"schema": 9}));
+    new.apply("sheets", 4, &json!({"deleted": true}));
+    let missing = old.missing(&new.hints());
+    assert_eq!(missing.len(), 3);
+    assert_eq!(new.missing(&old.hints()), []);
+    for document in new.select(&missing) {
+        old.apply(&document.name, document.version, &document.document);
+    }
+    assert_eq!(old.digest(), new.digest());
+    assert_eq!(old.missing(&new.hints()), []);
+}
+
+fn document(kind: u64, version: u64) -> Value {
+    match kind {
+        0 => json!({"deleted": true}),
+        1 => json!({"schema": 9, "address": version}),
+        2 => json!({"schema": 2, "address": version}),
+        _ => good(version),
+    }
+}
+
+fn deliveries() -> impl Strategy<Value = (Vec<(usize, u64, Value)>, Vec<usize>)> {
+    let kinds = prop::collection::vec((0..NAMES.len(), 0_u64..6), 1..12);
+    let writes = kinds.prop_map(|kinds| {
+        let versions = (1_u64..).zip(kinds);
+        versions
+            .map(|(version, (name, kind))| (name, version, document(kind, version)))
+            .collect::<Vec<_>>()
+    });
+    writes.prop_flat_map(|writes| {
+        let all: Vec<_> = (0..writes.len()).collect();
+        let repeats = prop::collection::vec(0..writes.len(), 0..12);
+        let order = repeats
+            .prop_map(move |repeats| [all.clone(), repeats].concat())
+            .prop_shuffle();
+        (Just(writes), order)
+    })
+}
+
+proptest! {
+    #[test]
+    fn any_order_ends_the_same_and_never_reverts((writes, order) in deliveries()) {
+        let mut expected = config::Table::default();
+        for (name, version, document) in &writes {
+            expected.apply(NAMES[*name], *version, document);
+        }
+        let mut table = config::Table::default();
+        for index in order {
+            let (name, version, document) = &writes[index];
+            let before = NAMES.map(|name| table.in_force(name));
+            table.apply(NAMES[*name], *version, document);
+            let after = NAMES.map(|name| table.in_force(name));
+            prop_assert!(before.iter().zip(&after).all(|(before, after)| before <= after));
+        }
+        prop_assert_eq!(table.digest(), expected.digest());
+        prop_assert_eq!(table.services(), expected.services());
+        prop_assert_eq!(table.standings().collect::<Vec<_>>(), expected.standings().collect::<Vec<_>>());
+    }
+}
