Change records through conditional writes and watch them

Cause: an answer of the platform can be lost after the write has taken effect, two operators can race, and watches can miss or reorder changes. Change: platform.rs calls the object API, change.rs decides about conditional writes (plan, judge) and retries within a budget, watch.rs follows a kind with two watchers a failure domain. The stand-in of the platform serves the API with all faults, and with one more, down_after_loss, so that a write can be left undecided without a race in the test. Ruled out: deciding a lost write by comparing the record itself, since a later change hides it; detecting missed changes by gaps in revisions, since the counter is store-wide. Everything is listed again each 60 s instead.

--- /dev/null
+++ b/src/change.rs
@@ -0,0 +1,299 @@
+//! Changes of records: conditional writes whose outcome can be asked for.
+//!
+//! The stored object is `{"changes": [..], "record": ..}` with the ids of the
+//! last changes, newest last. A change whose answer was lost is decided by
+//! reading the object back: its id is there, or the object has moved on
+//! without it, or it is still as it was and the same write is repeated under
+//! the same guard, so that it takes effect at most once.
+
+use serde_json::{Map, Value};
+use thiserror::Error;
+
+use crate::{backoff, platform, record};
+
+/// Change ids that an object keeps.
+pub const MAX_CHANGES: usize = 16;
+
+/// Retries of one change.
+pub const BUDGET: u32 = 5;
+
+const MAX_ID_LEN: usize = 128;
+const SEPARATOR: char = '~';
+const CHANGES: &str = "changes";
+const RECORD: &str = "record";
+
+/// What a change requires of the record before it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expect {
+    /// Nothing: the change is tried again on top of others.
+    Any,
+    /// There is no such record.
+    Absent,
+    /// The record has this version.
+    Version(u64),
+}
+
+/// A change as it is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The record's name.
+    pub name: &'a str,
+    /// The change's id, chosen by the caller, see [`name_of`].
+    pub id: &'a str,
+    /// What it requires.
+    pub expect: Expect,
+}
+
+/// What came of a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// The write is confirmed; the record has this version or a later one.
+    Accepted(u64),
+    /// Nothing was written; the record has this version, 0 for none.
+    Conflict(u64),
+    /// Nobody can say yet; ask again with the id.
+    Undecided,
+}
+
+/// Why a change was not tried, or certainly not made.
+#[derive(Debug, Error)]
+pub enum Error<E: std::error::Error + 'static> {
+    /// The platform could not be read; nothing was written.
+    #[error("the platform is not available, nothing was written: {0}")]
+    Unavailable(#[source] platform::Error),
+    /// The edit refuses the record as it is.
+    #[error(transparent)]
+    Edit(E),
+}
+
+/// A write that was sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Attempt {
+    /// The state that it required.
+    pub guard: platform::Guard,
+    /// The newest change id in that state.
+    pub last: Option<String>,
+}
+
+/// What to do next for a change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// It has been made.
+    Done(u64),
+    /// It cannot be made.
+    Conflict(u64),
+    /// Send this write.
+    Write(Attempt),
+}
+
+/// What reading an object back says of a lost write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It took effect.
+    Accepted(u64),
+    /// It did not and never will.
+    Conflict(u64),
+    /// It has not yet; the same write may be sent again.
+    Unchanged,
+    /// The object no longer tells.
+    Undecided,
+}
+
+/// The record within a stored object; null where there is none.
+#[must_use]
+pub fn record(value: &Value) -> &Value {
+    value.get(RECORD).unwrap_or(&Value::Null)
+}
+
+/// The change ids within a stored object, newest last.
+pub fn ids(value: &Value) -> impl DoubleEndedIterator<Item = &str> {
+    let ids = value.get(CHANGES).and_then(Value::as_array);
+    ids.into_iter().flatten().filter_map(Value::as_str)
+}
+
+/// The stored object with a new record and one more change id; other fields stay.
+#[must_use]
+pub fn stored(before: Option<&Value>, id: &str, record: Value) -> Value {
+    let mut fields = before.and_then(Value::as_object).cloned();
+    let mut kept: Vec<_> = before.into_iter().flat_map(ids).map(Value::from).collect();
+    kept.push(Value::from(id));
+    kept.drain(..kept.len().saturating_sub(MAX_CHANGES));
+    let fields = fields.get_or_insert_with(Map::new);
+    fields.insert(CHANGES.to_owned(), Value::from(kept));
+    fields.insert(RECORD.to_owned(), record);
+    Value::Object(std::mem::take(fields))
+}
+
+/// Makes a change id for a record from random bits: `NAME~BITS`.
+#[must_use]
+pub fn id(name: &str, random: u64) -> String {
+    format!("{name}{SEPARATOR}{random:016x}")
+}
+
+/// The record's name within a change id `NAME~TEXT`, if it is one.
+#[must_use]
+pub fn name_of(id: &str) -> Option<&str> {
+    let (name, rest) = id.split_once(SEPARATOR)?;
+    let plain = record::is_name(rest) && id.len() <= MAX_ID_LEN;
+    (plain && record::is_name(name)).then_some(name)
+}
+
+/// Decides what to do for a change in view of the object as it is.
+#[must_use]
+pub fn plan(object: Option<&platform::Object>, request: &Request<'_>) -> Step {
+    let version = object.map_or(0, |object| object.version);
+    if contains(object, request.id) {
+        return Step::Done(version);
+    }
+    let gone = object.is_none_or(|object| record::is_deleted(record(&object.value)));
+    let fits = match request.expect {
+        Expect::Any => true,
+        Expect::Absent => gone,
+        Expect::Version(expected) => expected == version,
+    };
+    if !fits {
+        return Step::Conflict(version);
+    }
+    Step::Write(Attempt {
+        guard: platform::Object::guard(object),
+        last: object.and_then(last).map(str::to_owned),
+    })
+}
+
+/// Decides about a write without an answer in view of the object read back.
+#[must_use]
+pub fn judge(attempt: &Attempt, id: &str, object: Option<&platform::Object>) -> Verdict {
+    let version = object.map_or(0, |object| object.version);
+    if contains(object, id) {
+        return Verdict::Accepted(version);
+    }
+    if platform::Object::guard(object) == attempt.guard {
+        return Verdict::Unchanged;
+    }
+    let known = match &attempt.last {
+        Some(last) => contains(object, last),
+        None => is_complete(attempt.guard, object),
+    };
+    if known {
+        Verdict::Conflict(version)
+    } else {
+        Verdict::Undecided
+    }
+}
+
+/// Makes a change: `edit` turns the record before it into the one after it.
+pub async fn commit<E: std::error::Error + 'static>(
+    client: &platform::Client,
+    request: &Request<'_>,
+    edit: impl Fn(Option<&Value>) -> Result<Value, E>,
+    mut backoff: backoff::Backoff,
+) -> Result<Outcome, Error<E>> {
+    let mut lost: Option<Attempt> = None;
+    loop {
+        let round = round(client, request, &edit, &mut lost).await?;
+        if let Round::End(outcome) = round {
+            return Ok(outcome);
+        }
+        let Some(wait) = backoff.next_wait() else {
+            return exhausted(round, lost.is_some());
+        };
+        tokio::time::sleep(wait.to_duration()).await;
+    }
+}
+
+/// Asks whether a change has taken effect; [`Outcome::Undecided`] where its id is not kept.
+pub async fn ask(
+    client: &platform::Client,
+    name: &str,
+    id: &str,
+) -> Result<Outcome, platform::Error> {
+    let object = client.get(platform::RECORDS, name).await?;
+    Ok(match object {
+        Some(object) if contains(Some(&object), id) => Outcome::Accepted(object.version),
+        _ => Outcome::Undecided,
+    })
+}
+
+enum Round {
+    End(Outcome),
+    Raced(u64),
+    Failed(platform::Error),
+}
+
+fn exhausted<E: std::error::Error + 'static>(
+    round: Round,
+    is_lost: bool,
+) -> Result<Outcome, Error<E>> {
+    match round {
+        Round::End(outcome) => Ok(outcome),
+        _ if is_lost => Ok(Outcome::Undecided),
+        Round::Raced(version) => Ok(Outcome::Conflict(version)),
+        Round::Failed(error) => Err(Error::Unavailable(error)),
+    }
+}
+
+async fn round<E: std::error::Error + 'static>(
+    client: &platform::Client,
+    request: &Request<'_>,
+    edit: &impl Fn(Option<&Value>) -> Result<Value, E>,
+    lost: &mut Option<Attempt>,
+) -> Result<Round, Error<E>> {
+    let object = match client.get(platform::RECORDS, request.name).await {
+        Ok(object) => object,
+        Err(error) => return Ok(Round::Failed(error)),
+    };
+    if let Some(outcome) = settle(lost, request, object.as_ref()) {
+        return Ok(Round::End(outcome));
+    }
+    let attempt = match plan(object.as_ref(), request) {
+        Step::Done(version) => return Ok(Round::End(Outcome::Accepted(version))),
+        Step::Conflict(version) => return Ok(Round::End(Outcome::Conflict(version))),
+        Step::Write(attempt) => attempt,
+    };
+    let before = object.as_ref().map(|object| &object.value);
+    let edited = edit(before.map(record)).map_err(Error::Edit)?;
+    let value = stored(before, request.id, edited);
+    let put = client.put(platform::RECORDS, request.name, attempt.guard, &value);
+    Ok(match put.await {
+        Ok(version) => Round::End(Outcome::Accepted(version)),
+        Err(platform::Error::Changed) => Round::Raced(object.map_or(0, |object| object.version)),
+        Err(error @ platform::Error::Refused(_)) if lost.is_none() => {
+            return Err(Error::Unavailable(error));
+        }
+        Err(error @ platform::Error::Refused(_)) => Round::Failed(error),
+        Err(error) => {
+            *lost = Some(attempt);
+            Round::Failed(error)
+        }
+    })
+}
+
+fn settle(
+    lost: &mut Option<Attempt>,
+    request: &Request<'_>,
+    object: Option<&platform::Object>,
+) -> Option<Outcome> {
+    let attempt = lost.as_ref()?;
+    match judge(attempt, request.id, object) {
+        Verdict::Accepted(version) => Some(Outcome::Accepted(version)),
+        Verdict::Undecided => Some(Outcome::Undecided),
+        Verdict::Unchanged => None,
+        Verdict::Conflict(_) => {
+            *lost = None;
+            None
+        }
+    }
+}
+
+fn contains(object: Option<&platform::Object>, id: &str) -> bool {
+    object.is_some_and(|object| ids(&object.value).any(|other| other == id))
+}
+
+fn last(object: &platform::Object) -> Option<&str> {
+    ids(&object.value).next_back()
+}
+
+fn is_complete(guard: platform::Guard, object: Option<&platform::Object>) -> bool {
+    let kept = object.map_or(0, |object| ids(&object.value).count());
+    guard == platform::Guard::Absent && (1..MAX_CHANGES).contains(&kept)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 //! daemons under `src/bin` read sockets, call the library and carry its
 //! actions out.
 
+pub mod backoff;
+pub mod change;
 pub mod clock;
 pub mod config;
 pub mod drain;
@@ -13,7 +15,9 @@
 pub mod ident;
 pub mod member;
 pub mod packet;
+pub mod platform;
 pub mod record;
 pub mod seal;
 pub mod settings;
 pub mod table;
+pub mod watch;
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,115 @@
+//! Watches the platform for changes, from few processes.
+
+use log::warn;
+use xxhash_rust::xxh3;
+
+use crate::{backoff, clock, ident, member, platform};
+
+/// Watchers in each failure domain.
+pub const PER_DOMAIN: usize = 2;
+
+/// Time that one watch waits for changes.
+pub const WAIT: clock::Millis = clock::Millis(5_000);
+
+/// Time after which everything is listed again, in case a watch missed a change.
+pub const RELIST: clock::Millis = clock::Millis(60_000);
+
+const SEED: u64 = 0x7761_7463_6865_7273;
+
+/// Whether `me` is among the watchers of its failure domain: the first two of
+/// the live balancers by rendezvous hashing. Unknown balancers are none.
+#[must_use]
+pub fn is_watcher(live: &[member::Balancer], me: ident::NodeId) -> bool {
+    let Some(own) = live.iter().find(|balancer| balancer.node == me) else {
+        return false;
+    };
+    let score = score(me);
+    let before = live
+        .iter()
+        .filter(|other| other.domain == own.domain && !other.leaving)
+        .filter(|other| self::score(other.node) > score)
+        .count();
+    !own.leaving && before < PER_DOMAIN
+}
+
+/// Follows the objects of one kind.
+#[derive(Debug)]
+pub struct Watch {
+    client: platform::Client,
+    kind: &'static str,
+    clock: clock::Clock,
+    relist: clock::Millis,
+    listed: clock::Millis,
+    after: Option<u64>,
+    backoff: backoff::Backoff,
+}
+
+impl Watch {
+    /// Follows a kind; the first answer lists everything, and so does one each `relist`.
+    #[must_use]
+    pub fn new(
+        client: platform::Client,
+        kind: &'static str,
+        relist: clock::Millis,
+        seed: u64,
+    ) -> Self {
+        Self {
+            client,
+            kind,
+            clock: clock::Clock::new(),
+            relist,
+            listed: clock::Millis(0),
+            after: None,
+            backoff: backoff::Backoff::new(seed, u32::MAX),
+        }
+    }
+
+    /// Waits for the next changed objects; older versions may come after newer ones.
+    ///
+    /// Failures are logged and retried; all objects are listed after one. May
+    /// be dropped at any point and called again.
+    pub async fn next(&mut self) -> Vec<platform::Object> {
+        loop {
+            match self.step().await {
+                Ok(items) if items.is_empty() => {}
+                Ok(items) => return items,
+                Err(error) => self.recover(&error).await,
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<Vec<platform::Object>, platform::Error> {
+        let now = self.clock.now();
+        let due = now.since(self.listed) >= self.relist;
+        let Some(after) = self.after.filter(|_| !due) else {
+            let listing = self.client.list(self.kind).await?;
+            self.listed = now;
+            return Ok(self.take(listing));
+        };
+        let left = self.relist.since(now.since(self.listed));
+        let wait = WAIT.min(left);
+        let listing = self.client.watch(self.kind, after, wait).await?;
+        if listing.revision < after {
+            self.after = None;
+            return Ok(Vec::new());
+        }
+        Ok(self.take(listing))
+    }
+
+    fn take(&mut self, listing: platform::Listing) -> Vec<platform::Object> {
+        self.after = Some(listing.revision);
+        self.backoff.reset(u32::MAX);
+        listing.items
+    }
+
+    async fn recover(&mut self, error: &platform::Error) {
+        self.after = None;
+        let wait = self.backoff.next_wait().unwrap_or(backoff::CAP);
+        warn!(kind = self.kind, wait_ms = wait.0, error:% = error; "watch failed");
+        tokio::time::sleep(wait.to_duration()).await;
+    }
+}
+
+fn score(node: ident::NodeId) -> u64 {
+    xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), SEED)
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,302 @@
+//! Changes and watches against the platform stand-in with its faults.
+
+use std::{convert::Infallible, net::SocketAddrV4, time::Duration};
+
+use cassiacross::{backoff, change, clock, config, ident, member, platform, watch};
+use serde_json::{Value, json};
+use tokio::{net, time};
+use yare::parameterized;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+struct Fixture {
+    base: String,
+    client: platform::Client,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let listener = net::TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let base = format!("http://{}", listener.local_addr().expect("address"));
+        tokio::spawn(standins::platform::serve(listener));
+        let client = platform::Client::new(&base).expect("client");
+        Self { base, client }
+    }
+
+    async fn faults(&self, faults: Value) {
+        let call = reqwest::Client::new().post(format!("{}/faults", self.base));
+        let answer = call.json(&faults).send().await.expect("answer");
+        assert!(answer.status().is_success());
+    }
+
+    async fn change(&self, id: &str, expect: change::Expect, port: u64) -> change::Outcome {
+        self.try_change(id, expect, port)
+            .await
+            .expect("platform is there")
+    }
+
+    async fn try_change(
+        &self,
+        id: &str,
+        expect: change::Expect,
+        port: u64,
+    ) -> Result<change::Outcome, change::Error<Infallible>> {
+        let request = change::Request {
+            name: "ledger",
+            id,
+            expect,
+        };
+        let backoff = backoff::Backoff::new(port, change::BUDGET);
+        change::commit(&self.client, &request, |_| Ok(document(port)), backoff).await
+    }
+
+    async fn stored(&self) -> platform::Object {
+        let object = self.client.get(platform::RECORDS, "ledger").await;
+        object.expect("platform is there").expect("record is there")
+    }
+
+    fn watch(&self, relist: clock::Millis) -> watch::Watch {
+        watch::Watch::new(self.client.clone(), platform::RECORDS, relist, 1)
+    }
+}
+
+fn document(port: u64) -> Value {
+    json!({"schema": 2, "address": format!("10.9.0.1:{port}")})
+}
+
+fn object(version: u64, ids: &[&str]) -> platform::Object {
+    platform::Object {
+        name: String::new(),
+        version,
+        value: json!({"changes": ids, "record": document(version)}),
+    }
+}
+
+async fn until_in_force(watch: &mut watch::Watch, table: &mut config::Table, version: u64) {
+    let follow = async {
+        while table.in_force("ledger") < version {
+            for item in watch.next().await {
+                table.apply(&item.name, item.version, change::record(&item.value));
+            }
+        }
+    };
+    time::timeout(LIMIT, follow).await.expect("change arrives");
+}
+
+#[parameterized(
+    found = { 3, Some("a"), Some((9, &["a", "x"])), change::Verdict::Accepted(9) },
+    unchanged = { 3, Some("a"), Some((3, &["a"])), change::Verdict::Unchanged },
+    other = { 3, Some("a"), Some((4, &["a", "b"])), change::Verdict::Conflict(4) },
+    forgotten = { 3, Some("a"), Some((9, &["b", "c"])), change::Verdict::Undecided },
+    absent = { 0, None, None, change::Verdict::Unchanged },
+    created = { 0, None, Some((4, &["b"])), change::Verdict::Conflict(4) },
+    untracked = { 0, None, Some((4, &[])), change::Verdict::Undecided },
+    removed = { 3, Some("a"), None, change::Verdict::Undecided },
+)]
+fn lost_answer_is_judged(
+    guard: u64,
+    last: Option<&str>,
+    now: Option<(u64, &[&str])>,
+    expected: change::Verdict,
+) {
+    let guard = match guard {
+        0 => platform::Guard::Absent,
+        version => platform::Guard::Version(version),
+    };
+    let attempt = change::Attempt {
+        guard,
+        last: last.map(str::to_owned),
+    };
+    let object = now.map(|(version, ids)| object(version, ids));
+    assert_eq!(change::judge(&attempt, "x", object.as_ref()), expected);
+}
+
+#[test]
+fn last_changes_and_other_fields_are_kept() {
+    let mut value = json!({"owner": "depot"});
+    for index in 0..40 {
+        value = change::stored(Some(&value), &format!("c{index}"), document(80));
+    }
+    let ids: Vec<_> = change::ids(&value).collect();
+    assert_eq!(ids.len(), change::MAX_CHANGES);
+    assert_eq!(ids.last(), Some(&"c39"));
+    assert_eq!(value["owner"], "depot");
+}
+
+#[parameterized(
+    whole = { "ledger~0a", Some("ledger") },
+    no_name = { "~0a", None },
+    no_text = { "ledger~", None },
+    plain = { "ledger", None },
+    slash = { "ledger~a/b", None },
+)]
+fn change_id_names_its_record(id: &str, expected: Option<&str>) {
+    assert_eq!(change::name_of(id), expected);
+}
+
+#[parameterized(
+    one = { 1 },
+    several = { 3 },
+)]
+#[test_macro(tokio::test)]
+async fn lost_answers_end_as_accepted_once(lost: u64) {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"lose_answers": lost})).await;
+    let outcome = fixture.change("ledger~1", change::Expect::Absent, 80).await;
+    assert_eq!(outcome, change::Outcome::Accepted(1));
+    assert_eq!(fixture.stored().await.version, 1);
+    let again = fixture.change("ledger~1", change::Expect::Absent, 80).await;
+    assert_eq!(again, change::Outcome::Accepted(1));
+    assert_eq!(fixture.stored().await.version, 1);
+}
+
+#[tokio::test]
+async fn outage_before_a_write_is_said_as_not_written() {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"down": true})).await;
+    let outcome = fixture
+        .try_change("ledger~1", change::Expect::Absent, 80)
+        .await;
+    assert!(
+        matches!(outcome, Err(change::Error::Unavailable(_))),
+        "{outcome:?}"
+    );
+    fixture.faults(json!({"down": false})).await;
+    let asked = change::ask(&fixture.client, "ledger", "ledger~1").await;
+    assert_eq!(
+        asked.expect("platform is there"),
+        change::Outcome::Undecided
+    );
+}
+
+#[tokio::test]
+async fn outage_after_a_write_is_undecided_until_asked() {
+    let fixture = Fixture::start().await;
+    fixture
+        .faults(json!({"lose_answers": 1, "down_after_loss": true}))
+        .await;
+    let outcome = fixture.change("ledger~1", change::Expect::Absent, 80).await;
+    assert_eq!(outcome, change::Outcome::Undecided);
+    fixture.faults(json!({"down": false})).await;
+    let asked = change::ask(&fixture.client, "ledger", "ledger~1").await;
+    assert_eq!(
+        asked.expect("platform is there"),
+        change::Outcome::Accepted(1)
+    );
+    let again = fixture.change("ledger~1", change::Expect::Absent, 80).await;
+    assert_eq!(again, change::Outcome::Accepted(1));
+}
+
+#[tokio::test]
+async fn racing_operators_have_one_winner() {
+    let fixture = Fixture::start().await;
+    fixture.change("ledger~0", change::Expect::Absent, 80).await;
+    let expect = change::Expect::Version(1);
+    let (a, b) = tokio::join!(
+        fixture.change("ledger~a", expect, 81),
+        fixture.change("ledger~b", expect, 82),
+    );
+    let mut outcomes = [a, b];
+    outcomes.sort_by_key(|outcome| matches!(outcome, change::Outcome::Conflict(_)));
+    assert_eq!(
+        outcomes,
+        [change::Outcome::Accepted(2), change::Outcome::Conflict(2)]
+    );
+    assert_eq!(fixture.stored().await.version, 2);
+}
+
+#[tokio::test]
+async fn forced_changes_all_take_effect() {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"lose_answers": 2})).await;
+    let (a, b, c) = tokio::join!(
+        fixture.change("ledger~a", change::Expect::Any, 81),
+        fixture.change("ledger~b", change::Expect::Any, 82),
+        fixture.change("ledger~c", change::Expect::Any, 83),
+    );
+    for outcome in [a, b, c] {
+        assert!(
+            matches!(outcome, change::Outcome::Accepted(_)),
+            "{outcome:?}"
+        );
+    }
+    let stored = fixture.stored().await;
+    let mut ids: Vec<_> = change::ids(&stored.value).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["ledger~a", "ledger~b", "ledger~c"]);
+    assert_eq!(stored.version, 3);
+}
+
+#[parameterized(
+    plain = { json!({}) },
+    reordered = { json!({"reorder_watch": true}) },
+    missed = { json!({"miss_watch": 2}) },
+)]
+#[test_macro(tokio::test)]
+async fn watch_ends_at_the_last_version(faults: Value) {
+    let fixture = Fixture::start().await;
+    fixture.faults(faults).await;
+    let mut watch = fixture.watch(clock::Millis(500));
+    let mut table = config::Table::default();
+    for version in 1..=6 {
+        let id = format!("ledger~{version}");
+        fixture.change(&id, change::Expect::Any, 80 + version).await;
+        if version % 2 == 0 {
+            until_in_force(&mut watch, &mut table, version).await;
+        }
+    }
+    assert_eq!(
+        table.service("ledger").expect("in force").address.port(),
+        86
+    );
+}
+
+#[tokio::test]
+async fn watch_lists_everything_after_an_outage() {
+    let fixture = Fixture::start().await;
+    let mut watch = fixture.watch(watch::RELIST);
+    let mut table = config::Table::default();
+    fixture.change("ledger~1", change::Expect::Any, 81).await;
+    until_in_force(&mut watch, &mut table, 1).await;
+    fixture.faults(json!({"down": true})).await;
+    let waited = time::timeout(Duration::from_millis(300), watch.next()).await;
+    assert!(waited.is_err(), "no change during the outage");
+    fixture.faults(json!({"down": false})).await;
+    fixture.change("ledger~2", change::Expect::Any, 82).await;
+    until_in_force(&mut watch, &mut table, 2).await;
+}
+
+fn balancer(index: u16, domain: &str) -> member::Balancer {
+    let name = format!("balancer-{index}");
+    let address = SocketAddrV4::new([127, 0, 0, 1].into(), index);
+    member::Balancer {
+        node: ident::NodeId::of(&name),
+        incarnation: ident::Incarnation(1),
+        name,
+        domain: domain.to_owned(),
+        control: address,
+        http: address,
+        leaving: index == 0,
+    }
+}
+
+#[parameterized(
+    one = { 1, 1 },
+    two = { 2, 2 },
+    many = { 40, 2 },
+)]
+fn watchers_in_each_domain(live: u16, expected: usize) {
+    let domains = ["valley-a", "valley-b", "valley-c"];
+    let balancers: Vec<_> = domains
+        .iter()
+        .zip([100, 200, 300])
+        .flat_map(|(domain, first)| (first..first + live).map(|i| balancer(i, domain)))
+        .chain([balancer(0, "valley-a")])
+        .collect();
+    let watchers = balancers
+        .iter()
+        .filter(|own| watch::is_watcher(&balancers, own.node));
+    assert_eq!(watchers.clone().count(), expected * domains.len());
+    assert!(watchers.clone().all(|own| !own.leaving));
+    assert!(!watch::is_watcher(&balancers, ident::NodeId::of("unknown")));
+}
