--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -137,14 +137,17 @@
     }
 
     async fn attempt(&mut self) -> Result<Answer, Failure> {
-        let mut connection = self.connect().await.map_err(failure)?;
+        let mut connection = self.connect().await.map_err(|error| failure(&error))?;
         let left = self.treatment.deadline.since(self.upstream.clock.now());
         if left == clock::Millis(0) {
             return Err(Failure::Unwritten);
         }
         let body = self.content.body();
         let request = request::forward(&self.parts, body, left);
-        let response = connection.send(request, self.end).await.map_err(failure)?;
+        let response = connection
+            .send(request, self.end)
+            .await
+            .map_err(|error| failure(&error))?;
         if is_shed(&response) {
             self.settle_refusal(response, connection);
             return Err(Failure::Shed);
@@ -341,7 +344,7 @@
     is_marked && response.status() == StatusCode::SERVICE_UNAVAILABLE
 }
 
-fn failure(error: connection::Error) -> Failure {
+fn failure(error: &connection::Error) -> Failure {
     match error {
         connection::Error::Unwritten => Failure::Unwritten,
         connection::Error::Failed(_) => Failure::Broken,
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -435,13 +435,14 @@
     /// Pays credit to the lower classes that wait, and takes it from the one that starts.
     fn charge(&mut self, lane: usize) {
         let service = self.mean_service(lane);
-        for lower in lane + 1..CLASSES {
+        let lower = SHARES.iter().enumerate().skip(lane + 1);
+        for (lower, share) in lower {
             let most = 2.0 * self.mean_service(lower);
-            let lower_lane = &mut self.lanes[lower];
-            if lower_lane.waiting.is_empty() {
-                lower_lane.credit = 0.0;
+            let lower = &mut self.lanes[lower];
+            if lower.waiting.is_empty() {
+                lower.credit = 0.0;
             } else {
-                lower_lane.credit = (lower_lane.credit + SHARES[lower] * service).min(most);
+                lower.credit = (lower.credit + share * service).min(most);
             }
         }
         let lane = &mut self.lanes[lane];
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Stand-ins for the systems around cassiacross, for tests, demo and measurements.
+
+pub mod upstream;
--- /dev/null
+++ b/standins/src/upstream.rs
@@ -0,0 +1,554 @@
+//! An upstream: runs requests in slots, keeps a ledger of what ran, has faults.
+
+use std::{
+    convert::Infallible,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    pin,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use cassiacross::{clock, outcome};
+use futures_util::{Stream, StreamExt, stream};
+use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    body::{Frame, Incoming},
+    server::conn::http1,
+    service,
+};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time,
+};
+
+const DEFAULT_WORK_MS: f64 = 20.0;
+const COLD_FACTOR: f64 = 10.0;
+const FEED_PERIOD: Duration = Duration::from_millis(100);
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+const POLL_PERIOD: Duration = Duration::from_millis(10);
+
+/// What an upstream is.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Address of requests.
+    pub http: SocketAddr,
+    /// Address of ledger and faults.
+    pub control: SocketAddr,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Connections that it announces.
+    pub connections: usize,
+    /// Factor on the speed of work.
+    pub speed: f64,
+    /// Requests after the start that run ten times as long.
+    pub cold_requests: u32,
+    /// Age of the figures of `/load`.
+    pub load_lag: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            name: "upstream-1".to_owned(),
+            service: "ledger".to_owned(),
+            http: any,
+            control: any,
+            slots: 4,
+            connections: 2_000,
+            speed: 1.0,
+            cold_requests: 0,
+            load_lag: Duration::ZERO,
+        }
+    }
+}
+
+/// What an upstream does wrong.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each fault is switched on its own"
+)]
+pub struct Faults {
+    /// Factor on the time of work.
+    pub slow: Option<f64>,
+    /// Runs a request, then sends this many bytes of its body and falls silent; 0 sends no head.
+    pub silent_after: Option<usize>,
+    /// Runs a request, then sends this many bytes of its body and closes; 0 sends no head.
+    pub close_after: Option<usize>,
+    /// Closes the connection when a request arrives, and does not run it.
+    pub close_before: bool,
+    /// Closes each connection when its first answer has ended, without saying so.
+    pub close_idle: bool,
+    /// Refuses each request as not run.
+    pub shed: bool,
+    /// Fails each request at once with status 500, and does not run it.
+    pub wrong_fast: bool,
+    /// The load that `/load` gives in place of the true one.
+    pub load: Option<usize>,
+}
+
+/// One execution of a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Execution {
+    /// The caller's `x-request-id`.
+    pub id: String,
+    /// When it started, by the upstream's clock.
+    pub started_ms: u64,
+    /// When it ended; none while it runs and if it was cancelled.
+    pub ended_ms: Option<u64>,
+    /// The service that ran it.
+    pub service: String,
+    /// The time that the request had left, if it said so.
+    pub deadline_ms: Option<u64>,
+}
+
+/// A running upstream.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Address of requests.
+    pub http: SocketAddr,
+    /// Address of ledger and faults.
+    pub control: SocketAddr,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    options: Options,
+    clock: clock::Clock,
+    slots: Semaphore,
+    faults: Mutex<Faults>,
+    ledger: Mutex<Vec<Execution>>,
+    cold: AtomicU32,
+    requests: AtomicUsize,
+    feeds: AtomicUsize,
+    connections: AtomicUsize,
+    stale_load: AtomicUsize,
+    draining: watch::Sender<bool>,
+    ended: watch::Sender<bool>,
+}
+
+type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// Binds an upstream's sockets and starts it on the current runtime.
+pub async fn start(options: Options) -> io::Result<Running> {
+    let requests = TcpListener::bind(options.http).await?;
+    let control = TcpListener::bind(options.control).await?;
+    let state = Arc::new(State {
+        clock: clock::Clock::new(),
+        slots: Semaphore::new(options.slots),
+        faults: Mutex::default(),
+        ledger: Mutex::default(),
+        cold: AtomicU32::new(options.cold_requests),
+        requests: AtomicUsize::new(0),
+        feeds: AtomicUsize::new(0),
+        connections: AtomicUsize::new(0),
+        stale_load: AtomicUsize::new(0),
+        draining: watch::Sender::new(false),
+        ended: watch::Sender::new(false),
+        options,
+    });
+    let running = Running {
+        http: requests.local_addr()?,
+        control: control.local_addr()?,
+        state: Arc::clone(&state),
+    };
+    tokio::spawn(accept(requests, Arc::clone(&state), Port::Requests));
+    tokio::spawn(accept(control, Arc::clone(&state), Port::Control));
+    tokio::spawn(follow_load(state));
+    Ok(running)
+}
+
+/// Announces an upstream to its agent each second, until it is dropped.
+pub async fn announce(running: Running, agent: SocketAddr) {
+    let client = reqwest::Client::new();
+    let url = format!("http://{agent}/announce");
+    let mut draining = running.state.draining.subscribe();
+    loop {
+        let sending = client.post(&url).json(&running.announcement()).send();
+        if let Err(error) = sending.await {
+            log::debug!(error:% = error; "announcement failed");
+        }
+        tokio::select! {
+            () = time::sleep(ANNOUNCE_PERIOD) => {}
+            _ = draining.changed() => {}
+        }
+    }
+}
+
+impl Running {
+    /// What has run, in the order of its start.
+    #[must_use]
+    pub fn ledger(&self) -> Vec<Execution> {
+        lock(&self.state.ledger).clone()
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *lock(&self.state.faults) = faults;
+    }
+
+    /// Requests that wait or run, without feeds.
+    #[must_use]
+    pub fn requests(&self) -> usize {
+        self.state.requests.load(Ordering::SeqCst)
+    }
+
+    /// Open feeds.
+    #[must_use]
+    pub fn feeds(&self) -> usize {
+        self.state.feeds.load(Ordering::SeqCst)
+    }
+
+    /// Open connections.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+
+    /// Announces the end, waits for requests, and for feeds at most `limit`.
+    pub async fn drain(&self, limit: Duration) {
+        self.state.draining.send_replace(true);
+        let end = time::Instant::now() + limit;
+        while self.requests() > 0 || (self.feeds() > 0 && time::Instant::now() < end) {
+            time::sleep(POLL_PERIOD).await;
+        }
+        time::sleep(POLL_PERIOD).await;
+        self.state.ended.send_replace(true);
+        while self.connections() > 0 {
+            time::sleep(POLL_PERIOD).await;
+        }
+    }
+
+    fn announcement(&self) -> serde_json::Value {
+        let options = &self.state.options;
+        let state = if *self.state.draining.borrow() {
+            "draining"
+        } else {
+            "ready"
+        };
+        json!({
+            "service": options.service, "address": self.http, "slots": options.slots,
+            "connections": options.connections, "load": "/load", "state": state,
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Port {
+    Requests,
+    Control,
+}
+
+async fn accept(listener: TcpListener, state: Arc<State>, port: Port) {
+    let mut ended = state.ended.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = ended.wait_for(|ended| *ended) => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            tokio::spawn(connection(stream, Arc::clone(&state), port));
+        }
+    }
+}
+
+async fn connection(stream: TcpStream, state: Arc<State>, port: Port) {
+    if matches!(port, Port::Control) {
+        let handler = service::service_fn(|request| control(Arc::clone(&state), request));
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+        drop(serving.await);
+        return;
+    }
+    let _open = Open::new(&state, |state| &state.connections);
+    let mut ended = state.ended.subscribe();
+    let handler = service::service_fn(|request| serve(Arc::clone(&state), request));
+    let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), handler);
+    let mut serving = pin::pin!(serving);
+    tokio::select! {
+        _ = serving.as_mut() => return,
+        _ = ended.wait_for(|ended| *ended) => {}
+    }
+    serving.as_mut().graceful_shutdown();
+    drop(serving.await);
+}
+
+/// Counts something that is open until it is dropped.
+struct Open {
+    state: Arc<State>,
+    count: fn(&State) -> &AtomicUsize,
+}
+
+impl Open {
+    fn new(state: &Arc<State>, count: fn(&State) -> &AtomicUsize) -> Self {
+        count(state).fetch_add(1, Ordering::SeqCst);
+        Self {
+            state: Arc::clone(state),
+            count,
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        (self.count)(&self.state).fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+async fn serve(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let path = request.uri().path();
+    if path == "/load" {
+        return Ok(json_answer(StatusCode::OK, &load(&state)));
+    }
+    if request.method() == Method::GET && path.starts_with("/feed") {
+        return Ok(feed(&state, &request));
+    }
+    run(&state, request).await
+}
+
+async fn run(state: &Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let faults = *lock(&state.faults);
+    if faults.close_before {
+        return Err(closed());
+    }
+    if faults.shed {
+        return Ok(shed());
+    }
+    if faults.wrong_fast {
+        return Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, "wrong\n"));
+    }
+    let open = Open::new(state, |state| &state.requests);
+    let (parts, body) = request.into_parts();
+    let received = body.collect().await.map_err(|_| closed())?;
+    let received = received.to_bytes().len();
+    let slot = state.slots.acquire().await.map_err(|_| closed())?;
+    let index = state.begin(&parts.headers);
+    time::sleep(state.work(&parts.headers, faults)).await;
+    state.end(index);
+    drop(slot);
+    let text = body_text(&parts.headers);
+    let mut response = Response::new(faulty_body(text, faults, open).await?);
+    state.name(response.headers_mut(), &parts.headers);
+    response.headers_mut().insert("x-received", received.into());
+    Ok(response)
+}
+
+/// The answer's body with the faults in force, or an error to send no head.
+async fn faulty_body(text: Bytes, faults: Faults, open: Open) -> io::Result<Body> {
+    if faults.silent_after == Some(0) {
+        drop(open);
+        return std::future::pending().await;
+    }
+    if faults.close_after == Some(0) {
+        return Err(closed());
+    }
+    if let Some(len) = faults.silent_after {
+        drop(open);
+        return Ok(broken(text, len, stream::pending()));
+    }
+    if let Some(len) = faults.close_after {
+        let end = stream::iter([Err(closed())]);
+        return Ok(broken(text, len, end));
+    }
+    if faults.close_idle {
+        let end = stream::once(async {
+            time::sleep(Duration::from_millis(1)).await;
+            Err(closed())
+        });
+        let len = text.len();
+        return Ok(broken(text, len, end));
+    }
+    let whole = Full::new(text).map_frame(move |frame| {
+        let _open = &open;
+        frame
+    });
+    Ok(whole
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync())
+}
+
+fn broken(
+    text: Bytes,
+    len: usize,
+    end: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
+) -> Body {
+    let start = text.slice(..len.min(text.len()));
+    let start = stream::iter([Ok(Frame::data(start))]);
+    StreamBody::new(start.chain(end)).boxed_unsync()
+}
+
+fn feed(state: &Arc<State>, request: &Request<Incoming>) -> Response<Body> {
+    let open = Open::new(state, |state| &state.feeds);
+    let id = text(request.headers(), "x-request-id").to_owned();
+    let ended = state.ended.subscribe();
+    let lines = stream::unfold((0_u64, open, ended), move |(n, open, mut ended)| {
+        let line = Bytes::from(format!("{id} {n}\n"));
+        async move {
+            let is_ended = *ended.borrow_and_update();
+            if is_ended {
+                return None;
+            }
+            time::sleep(FEED_PERIOD).await;
+            Some((Ok(Frame::data(line)), (n + 1, open, ended)))
+        }
+    });
+    let mut response = Response::new(StreamBody::new(lines).boxed_unsync());
+    state.name(response.headers_mut(), request.headers());
+    response
+}
+
+async fn control(
+    state: Arc<State>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, hyper::Error> {
+    let (parts, body) = request.into_parts();
+    match (&parts.method, parts.uri.path()) {
+        (&Method::GET, "/ledger") => {
+            let ledger = lock(&state.ledger).clone();
+            Ok(json_answer(StatusCode::OK, &ledger))
+        }
+        (&Method::GET, "/load") => Ok(json_answer(StatusCode::OK, &load(&state))),
+        (&Method::POST, "/faults") => {
+            let body = body.collect().await?.to_bytes();
+            match serde_json::from_slice(&body) {
+                Ok(faults) => {
+                    *lock(&state.faults) = faults;
+                    Ok(json_answer(StatusCode::OK, &faults))
+                }
+                Err(error) => Ok(json_answer(StatusCode::BAD_REQUEST, &error.to_string())),
+            }
+        }
+        _ => Ok(answer(StatusCode::NOT_FOUND, "not found\n")),
+    }
+}
+
+impl State {
+    fn begin(&self, headers: &HeaderMap) -> usize {
+        let mut ledger = lock(&self.ledger);
+        ledger.push(Execution {
+            id: text(headers, "x-request-id").to_owned(),
+            started_ms: self.clock.now().0,
+            ended_ms: None,
+            service: self.options.service.clone(),
+            deadline_ms: text(headers, outcome::DEADLINE.as_str()).parse().ok(),
+        });
+        ledger.len() - 1
+    }
+
+    fn end(&self, index: usize) {
+        lock(&self.ledger)[index].ended_ms = Some(self.clock.now().0);
+    }
+
+    fn work(&self, headers: &HeaderMap, faults: Faults) -> Duration {
+        let work: f64 = text(headers, "x-work-ms")
+            .parse()
+            .unwrap_or(DEFAULT_WORK_MS);
+        let warm = self
+            .cold
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1))
+            .is_err();
+        let cold = if warm { 1.0 } else { COLD_FACTOR };
+        let factor = cold * faults.slow.unwrap_or(1.0) / self.options.speed;
+        Duration::from_secs_f64((work * factor).max(0.0) / 1_000.0)
+    }
+
+    fn name(&self, headers: &mut HeaderMap, request: &HeaderMap) {
+        if let Some(id) = request.get("x-request-id") {
+            headers.insert("x-request-id", id.clone());
+        }
+        let names = [
+            ("x-upstream", &self.options.name),
+            ("x-service", &self.options.service),
+        ];
+        for (header, name) in names {
+            if let Ok(value) = name.parse() {
+                headers.insert(header, value);
+            }
+        }
+    }
+}
+
+/// Keeps the figures of `/load` as old as the options say.
+async fn follow_load(state: Arc<State>) {
+    let mut ended = state.ended.subscribe();
+    let lag = state.options.load_lag.max(POLL_PERIOD);
+    loop {
+        let requests = state.requests.load(Ordering::SeqCst);
+        state.stale_load.store(requests, Ordering::SeqCst);
+        tokio::select! {
+            () = time::sleep(lag) => {}
+            _ = ended.wait_for(|ended| *ended) => return,
+        }
+    }
+}
+
+fn load(state: &State) -> serde_json::Value {
+    let lie = lock(&state.faults).load;
+    let requests = lie.unwrap_or_else(|| state.stale_load.load(Ordering::SeqCst));
+    json!({
+        "requests": requests, "slots": state.options.slots,
+        "feeds": state.feeds.load(Ordering::SeqCst),
+    })
+}
+
+/// The id of a request, repeated until `x-answer-bytes` are full.
+fn body_text(headers: &HeaderMap) -> Bytes {
+    let line = format!("{}\n", text(headers, "x-request-id"));
+    let len = text(headers, "x-answer-bytes")
+        .parse()
+        .unwrap_or(line.len());
+    let mut body = line.repeat(len.div_ceil(line.len()));
+    body.truncate(len);
+    body.into()
+}
+
+fn shed() -> Response<Body> {
+    let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
+    let headers = response.headers_mut();
+    headers.insert(outcome::OUTCOME, outcome::NOT_RUN);
+    response
+}
+
+fn answer(status: StatusCode, text: &'static str) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+fn json_answer(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+fn closed() -> io::Error {
+    io::ErrorKind::ConnectionAborted.into()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
