--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -335,9 +335,9 @@
     }
     let open = Open::new(state, |state| &state.requests);
     let (parts, body) = request.into_parts();
-    let received = body.collect().await.map_err(|_| closed())?;
+    let received = body.collect().await.map_err(io::Error::other)?;
     let received = received.to_bytes().len();
-    let slot = state.slots.acquire().await.map_err(|_| closed())?;
+    let slot = state.slots.acquire().await.map_err(io::Error::other)?;
     let index = state.begin(&parts.headers);
     time::sleep(state.work(&parts.headers, faults)).await;
     state.end(index);
@@ -360,11 +360,11 @@
     }
     if let Some(len) = faults.silent_after {
         drop(open);
-        return Ok(broken(text, len, stream::pending()));
+        return Ok(broken(&text, len, stream::pending()));
     }
     if let Some(len) = faults.close_after {
         let end = stream::iter([Err(closed())]);
-        return Ok(broken(text, len, end));
+        return Ok(broken(&text, len, end));
     }
     if faults.close_idle {
         let end = stream::once(async {
@@ -372,7 +372,7 @@
             Err(closed())
         });
         let len = text.len();
-        return Ok(broken(text, len, end));
+        return Ok(broken(&text, len, end));
     }
     let whole = Full::new(text).map_frame(move |frame| {
         let _open = &open;
@@ -384,7 +384,7 @@
 }
 
 fn broken(
-    text: Bytes,
+    text: &Bytes,
     len: usize,
     end: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
 ) -> Body {
