--- a/standins/src/bin/standin/app.rs
+++ b/standins/src/bin/standin/app.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::fabric;
+use crate::{fabric, platform, upstream};
 
 /// Runs the stand-in that the first argument names.
 pub(crate) async fn run() -> anyhow::Result<()> {
@@ -15,6 +15,8 @@
     let args: Vec<OsString> = args.collect();
     match name.to_string_lossy().as_ref() {
         "fabric" => fabric::run(args).await,
+        "platform" => platform::run(args).await,
+        "upstream" => upstream::run(args).await,
         other => bail!("there is no stand-in `{other}`"),
     }
 }
--- a/standins/src/bin/standin/main.rs
+++ b/standins/src/bin/standin/main.rs
@@ -2,6 +2,8 @@
 
 mod app;
 mod fabric;
+mod platform;
+mod upstream;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/standins/src/bin/standin/platform.rs
@@ -0,0 +1,36 @@
+//! `standin platform`.
+
+use std::{
+    ffi::OsString,
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use serde_json::json;
+use standins::platform;
+use tokio::net;
+
+use crate::app;
+
+mod flags {
+    use std::net::SocketAddr;
+
+    xflags::xflags! {
+        /// Keeps objects with versions, conditional updates and watches.
+        cmd platform {
+            /// Where HTTP calls arrive.
+            optional --http http: SocketAddr
+        }
+    }
+}
+
+/// Runs the platform until it is told to stop.
+pub(crate) async fn run(args: Vec<OsString>) -> anyhow::Result<()> {
+    let flags = flags::Platform::from_vec(args)?;
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = net::TcpListener::bind(flags.http.unwrap_or(any)).await?;
+    app::tell(&json!({ "http": listener.local_addr()? }))?;
+    tokio::select! {
+        result = platform::serve(listener) => match result? {},
+        stopped = app::stopped() => stopped,
+    }
+}
