Start fleets from plain data and show one in a demo

A fleet starts all processes on ports that the system picks; an interposer gives the advertise settings where proxies stand in between.

Command lines of stand-ins and operator tool are assumed; not yet run against them.

--- /dev/null
+++ b/standins/src/fleet.rs
@@ -0,0 +1,754 @@
+//! Whole fleets of real processes.
+//!
+//! A fleet is a platform, a fabric, balancers, and an agent with its upstream
+//! on each upstream host. All listen on ports that the system picks; settings
+//! and logs lie in a folder that goes with the fleet, as do the processes.
+
+use std::{
+    ffi::OsString,
+    fmt::Debug,
+    fs, io,
+    net::{SocketAddr, SocketAddrV4},
+    path::{Path, PathBuf},
+};
+
+use cassiacross::clock;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use thiserror::Error;
+
+use crate::{
+    deployment, history,
+    process::{self, Process, Program, Signal},
+    wait,
+};
+
+/// Secret that operators' calls carry.
+pub const OPERATOR_TOKEN: &str = "operator token of a test fleet";
+
+/// Secret that the processes of a fleet share.
+pub const FLEET_KEY: &str = "fleet key of a test fleet";
+
+const LOOPBACK_ANY: &str = "127.0.0.1:0";
+
+/// Why a fleet could not do what was asked.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// A process could not be run.
+    #[error(transparent)]
+    Process(#[from] process::Error),
+    /// Something did not come to hold.
+    #[error(transparent)]
+    Timeout(#[from] wait::Timeout),
+    /// Settings could not be written.
+    #[error("settings cannot be written: {0}")]
+    Settings(#[from] io::Error),
+    /// A call failed.
+    #[error("call failed: {0}")]
+    Call(#[from] reqwest::Error),
+    /// A process told something that cannot be read.
+    #[error("answer cannot be read: {0}")]
+    Answer(#[from] serde_json::Error),
+    /// The operator tool refused.
+    #[error("cassiacross {args}: {message}")]
+    Operator {
+        /// The tool's arguments.
+        args: String,
+        /// What it wrote.
+        message: String,
+    },
+    /// No process of the fleet has the name.
+    #[error("no process is named {0}")]
+    Name(String),
+}
+
+/// What varies between fleets of one deployment.
+#[derive(Debug)]
+pub struct Options {
+    /// Time between heartbeats, and between exchanges.
+    pub period: clock::Millis,
+    /// Seed of the fabric.
+    pub seed: u64,
+    /// Filter of the processes' logs.
+    pub filter: String,
+    /// Puts proxies between the processes.
+    pub interposer: Option<Interposer>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            period: clock::Millis(200),
+            seed: 1,
+            filter: "info".to_owned(),
+            interposer: None,
+        }
+    }
+}
+
+/// What a process is to the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// A balancer.
+    Balancer,
+    /// An agent.
+    Agent,
+}
+
+/// Where others reach a process that has proxies before it.
+#[derive(Clone, Debug, Default)]
+pub struct Front {
+    /// The `advertise` settings; null for none.
+    pub advertise: Value,
+    /// Where the fabric reaches a balancer's packets, if not where they are bound.
+    pub packets: Option<SocketAddrV4>,
+}
+
+/// Gives the proxies before a process of a role and name, which listen already.
+pub type Before = dyn FnMut(Role, &str) -> Front + Send;
+
+/// Takes role, name and the addresses that a process told.
+pub type After = dyn FnMut(Role, &str, &Value) + Send;
+
+/// Puts proxies between the processes of a fleet.
+///
+/// `before` is asked ahead of each start; `after` learns the addresses that
+/// the process told, which its proxies then forward to.
+pub struct Interposer {
+    /// Asked ahead of each start.
+    pub before: Box<Before>,
+    /// Told after each start.
+    pub after: Box<After>,
+}
+
+impl Debug for Interposer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Interposer")
+    }
+}
+
+/// Addresses of a balancer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct BalancerAddr {
+    /// Where GUE datagrams arrive.
+    pub packets: SocketAddrV4,
+    /// Where sealed datagrams arrive.
+    pub control: SocketAddrV4,
+    /// Where HTTP calls arrive.
+    pub http: SocketAddrV4,
+}
+
+/// Addresses of an agent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct AgentAddr {
+    /// Where sealed datagrams arrive.
+    pub packets: SocketAddrV4,
+    /// Where HTTP calls arrive.
+    pub http: SocketAddrV4,
+    /// Where the upstream announces itself.
+    pub local: SocketAddr,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+struct HttpAddr {
+    http: SocketAddr,
+}
+
+/// A balancer of a fleet.
+#[derive(Debug)]
+pub struct Balancer {
+    /// The process.
+    pub process: Process,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its addresses.
+    pub addr: BalancerAddr,
+    /// Where others reach its HTTP calls.
+    pub reached: SocketAddrV4,
+    /// Where the fabric reaches its packets.
+    pub packets: SocketAddrV4,
+}
+
+/// An upstream host of a fleet.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Name of the upstream.
+    pub name: String,
+    /// The agent's process.
+    pub agent: Process,
+    /// Addresses of the agent.
+    pub addr: AgentAddr,
+    /// The upstream's process.
+    pub process: Process,
+    /// Where the upstream takes HTTP calls.
+    pub http: SocketAddr,
+    /// What the host is like.
+    pub plan: Plan,
+}
+
+/// What an upstream host is like.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Name of the service.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that the upstream runs at a time.
+    pub slots: u32,
+    /// Connections that the upstream takes.
+    pub connections: u32,
+    /// Speed of the upstream.
+    pub speed: f64,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The balancers, the oldest first.
+    pub balancers: Vec<Balancer>,
+    /// The upstream hosts.
+    pub upstreams: Vec<Upstream>,
+    /// Address of the platform's HTTP calls.
+    pub platform: SocketAddr,
+    /// Address of the fabric's HTTP calls.
+    pub fabric: SocketAddr,
+    /// TCP ports of the services at the fabric, sorted by name.
+    pub ports: Vec<(String, SocketAddr)>,
+    processes: Vec<Process>,
+    deployment: deployment::Deployment,
+    options: Options,
+    client: reqwest::Client,
+    started: usize,
+    lost: Vec<String>,
+    saved: Vec<history::Execution>,
+    dir: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Starts all processes, applies the records and waits until all services answer.
+    pub async fn start(
+        deployment: deployment::Deployment,
+        options: Options,
+    ) -> Result<Self, Error> {
+        let mut fleet = Self::outside(deployment, options).await?;
+        for _ in 0..fleet.deployment.balancers {
+            fleet.add_balancer().await?;
+        }
+        let services = fleet.deployment.services.clone();
+        for service in &services {
+            fleet.apply(service.name, &service.record).await?;
+        }
+        for service in &services {
+            fleet.add_upstreams(service).await?;
+        }
+        fleet.settle().await?;
+        Ok(fleet)
+    }
+
+    async fn outside(deployment: deployment::Deployment, options: Options) -> Result<Self, Error> {
+        let dir = tempfile::Builder::new().prefix("fleet-").tempdir()?;
+        let platform = start_standin(dir.path(), &options, "platform", &["platform"]).await?;
+        let mut args = vec!["fabric".to_owned(), "--seed".to_owned()];
+        args.push(options.seed.to_string());
+        for service in &deployment.services {
+            args.push("--service".to_owned());
+            args.push(format!("{}={}", service.name, service.address()));
+        }
+        let fabric = start_standin(dir.path(), &options, "fabric", &args).await?;
+        let mut fleet = Self {
+            balancers: Vec::new(),
+            upstreams: Vec::new(),
+            platform: http(&platform)?,
+            fabric: http(&fabric)?,
+            ports: Vec::new(),
+            processes: vec![fabric, platform],
+            deployment,
+            options,
+            client: client(),
+            started: 0,
+            lost: Vec::new(),
+            saved: Vec::new(),
+            dir,
+        };
+        fleet.ports = fleet.read_ports().await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more balancer under a new name and puts it behind the fabric once it is ready.
+    pub async fn add_balancer(&mut self) -> Result<String, Error> {
+        self.started += 1;
+        let name = format!("balancer-{}", self.started);
+        let domains = &self.deployment.domains;
+        let domain = domains[(self.started - 1) % domains.len()].to_owned();
+        let balancer = self.start_balancer(&name, domain).await?;
+        let http = balancer.addr.http;
+        self.balancers.push(balancer);
+        let what = format!("readiness of {name}");
+        wait::until(&what, wait::LIMIT, async || {
+            self.is_ready(http.into()).await
+        })
+        .await?;
+        self.tell_fabric().await?;
+        Ok(name)
+    }
+
+    /// Starts a balancer, waits until it is ready, and then stops the named one gracefully.
+    pub async fn replace_balancer(&mut self, name: &str) -> Result<String, Error> {
+        let added = self.add_balancer().await?;
+        self.stop_balancer(name).await?;
+        Ok(added)
+    }
+
+    /// Stops a balancer gracefully, then takes it from the fabric.
+    pub async fn stop_balancer(&mut self, name: &str) -> Result<(), Error> {
+        let index = self.balancer(name)?;
+        self.balancers[index].process.stop().await?;
+        self.balancers.remove(index);
+        self.tell_fabric().await
+    }
+
+    /// Kills a balancer; the fabric is told nothing and learns it from its polls.
+    pub fn kill_balancer(&mut self, name: &str) -> Result<(), Error> {
+        let index = self.balancer(name)?;
+        self.balancers.remove(index);
+        Ok(())
+    }
+
+    /// Starts an agent and its upstream under a new name.
+    pub async fn add_upstream(&mut self, name: &str, plan: &Plan) -> Result<(), Error> {
+        let (agent, addr) = self.start_agent(name, &plan.domain).await?;
+        let (process, http) = self.start_upstream(name, plan, addr.local).await?;
+        self.upstreams.push(Upstream {
+            name: name.to_owned(),
+            agent,
+            addr,
+            process,
+            http,
+            plan: plan.clone(),
+        });
+        Ok(())
+    }
+
+    /// Stops an upstream gracefully and then its agent, and keeps the upstream's ledger.
+    pub async fn stop_upstream(&mut self, name: &str) -> Result<(), Error> {
+        let index = self.upstream(name)?;
+        self.save_ledger(index).await;
+        self.upstreams[index].process.signal(Signal::Term);
+        self.follow_ledger(index).await?;
+        self.upstreams[index].agent.stop().await?;
+        self.upstreams.remove(index);
+        Ok(())
+    }
+
+    /// Kills an upstream host, agent and upstream; what the upstream ran is lost.
+    pub fn kill_upstream(&mut self, name: &str) -> Result<(), Error> {
+        let index = self.upstream(name)?;
+        self.upstreams.remove(index);
+        self.lost.push(name.to_owned());
+        Ok(())
+    }
+
+    /// Kills an agent and starts it again, at new addresses, with its upstream told the new one.
+    pub async fn restart_agent(&mut self, name: &str) -> Result<(), Error> {
+        let index = self.upstream(name)?;
+        let plan = self.upstreams[index].plan.clone();
+        self.upstreams[index].agent.kill();
+        self.save_ledger(index).await;
+        self.upstreams[index].process.kill();
+        self.upstreams.remove(index);
+        self.add_upstream(name, &plan).await
+    }
+
+    /// Sends a signal to a process of any role; agents are named `agent-UPSTREAM`.
+    pub fn signal(&mut self, name: &str, signal: Signal) -> Result<(), Error> {
+        let balancers = self.balancers.iter_mut().map(|one| &mut one.process);
+        let upstreams = self
+            .upstreams
+            .iter_mut()
+            .flat_map(|one| [&mut one.agent, &mut one.process]);
+        let process = balancers
+            .chain(upstreams)
+            .chain(&mut self.processes)
+            .find(|process| process.name() == name)
+            .ok_or_else(|| Error::Name(name.to_owned()))?;
+        process.signal(signal);
+        Ok(())
+    }
+
+    /// Applies a record with the operator tool.
+    pub async fn apply(&self, name: &str, record: &Value) -> Result<(), Error> {
+        let path = self.write(&format!("record-{name}"), record)?;
+        let path = path.to_string_lossy().into_owned();
+        self.operator(&["apply", &path]).await?;
+        Ok(())
+    }
+
+    /// Runs the operator tool against a live balancer and gives what it wrote to its output.
+    pub async fn operator(&self, args: &[&str]) -> Result<String, Error> {
+        let balancer = self.balancers.last();
+        let balancer = balancer.ok_or_else(|| Error::Name("balancer".to_owned()))?;
+        let url = format!("http://{}", balancer.addr.http);
+        let mut all: Vec<OsString> = ["--balancer", &url, "--token", OPERATOR_TOKEN]
+            .into_iter()
+            .map(OsString::from)
+            .collect();
+        all.extend(args.iter().map(OsString::from));
+        let output = process::output(Program::Operator, all).await?;
+        if output.status.success() {
+            return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
+        }
+        Err(Error::Operator {
+            args: args.join(" "),
+            message: String::from_utf8_lossy(&output.stderr).into_owned(),
+        })
+    }
+
+    /// What all upstreams ran, with those that were stopped before.
+    pub async fn ledger(&self) -> Result<history::Ledger, Error> {
+        let mut ledger = history::Ledger {
+            executions: self.saved.clone(),
+            lost: self.lost.clone(),
+        };
+        for upstream in &self.upstreams {
+            let runs = self.read_ledger(&upstream.name, upstream.http).await?;
+            ledger.executions.extend(runs);
+        }
+        ledger.lost.sort();
+        Ok(ledger)
+    }
+
+    /// A process's tables as it dumps them.
+    pub async fn state(&self, http: SocketAddr) -> Result<Value, Error> {
+        self.get(http, "/state").await
+    }
+
+    /// Whether a process says that it is ready.
+    pub async fn is_ready(&self, http: SocketAddr) -> bool {
+        let call = self.client.get(format!("http://{http}/ready")).send();
+        call.await
+            .is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Posts JSON to a stand-in, for example to its `/faults`.
+    pub async fn post(&self, http: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
+        let call = self.client.post(format!("http://{http}{path}")).json(body);
+        call.send().await?.error_for_status()?;
+        Ok(())
+    }
+
+    /// Reads JSON from a process.
+    pub async fn get(&self, http: SocketAddr, path: &str) -> Result<Value, Error> {
+        let call = self.client.get(format!("http://{http}{path}"));
+        let response = call.send().await?.error_for_status()?;
+        Ok(response.json().await?)
+    }
+
+    /// TCP port of a service at the fabric.
+    pub fn port(&self, service: &str) -> Result<SocketAddr, Error> {
+        self.ports
+            .binary_search_by(|(name, _)| name.as_str().cmp(service))
+            .map(|index| self.ports[index].1)
+            .map_err(|_place| Error::Name(service.to_owned()))
+    }
+
+    /// What the fleet was started from.
+    #[must_use]
+    pub const fn deployment(&self) -> &deployment::Deployment {
+        &self.deployment
+    }
+
+    /// Folder with settings and logs.
+    #[must_use]
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Stops all processes gracefully, from the upstreams to the platform.
+    pub async fn stop(mut self) -> Result<(), Error> {
+        for upstream in &mut self.upstreams {
+            upstream.process.signal(Signal::Term);
+        }
+        for upstream in &mut self.upstreams {
+            upstream.process.ended(process::LIMIT).await?;
+            upstream.agent.signal(Signal::Term);
+        }
+        for upstream in &mut self.upstreams {
+            upstream.agent.ended(process::LIMIT).await?;
+        }
+        for balancer in &mut self.balancers {
+            balancer.process.signal(Signal::Term);
+        }
+        for balancer in &mut self.balancers {
+            balancer.process.ended(process::LIMIT).await?;
+        }
+        for process in &mut self.processes {
+            process.stop().await?;
+        }
+        Ok(())
+    }
+
+    async fn add_upstreams(&mut self, service: &deployment::Service) -> Result<(), Error> {
+        for (index, speed) in service.speeds.iter().enumerate() {
+            let domains = &self.deployment.domains;
+            let plan = Plan {
+                service: service.name.to_owned(),
+                domain: domains[index % domains.len()].to_owned(),
+                slots: service.slots,
+                connections: service.connections,
+                speed: *speed,
+            };
+            let name = format!("{}-{}", service.name, index + 1);
+            self.add_upstream(&name, &plan).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until agents are ready and each service answers at its port.
+    async fn settle(&self) -> Result<(), Error> {
+        for upstream in &self.upstreams {
+            let what = format!("readiness of the agent of {}", upstream.name);
+            let http = upstream.addr.http.into();
+            wait::until(&what, wait::LIMIT, async || self.is_ready(http).await).await?;
+        }
+        for (service, port) in &self.ports {
+            let what = format!("answer of {service}");
+            let url = format!("http://{port}/settle");
+            wait::until(&what, wait::LIMIT, async || self.answers(&url).await).await?;
+        }
+        Ok(())
+    }
+
+    async fn answers(&self, url: &str) -> bool {
+        let call = self.client.get(url).header("x-work-ms", 1);
+        let response = call.timeout(clock::Millis(2_000).to_duration()).send();
+        response
+            .await
+            .is_ok_and(|response| response.status().is_success())
+    }
+
+    async fn start_balancer(&mut self, name: &str, domain: String) -> Result<Balancer, Error> {
+        let front = self.front(Role::Balancer, name);
+        let reached = front.advertise["http"].as_str();
+        let reached = reached.and_then(|http| http.parse().ok());
+        let mut settings = self.common(name, &domain, front.advertise);
+        settings["control"] = json!(LOOPBACK_ANY);
+        settings["platform"] = json!(format!("http://{}", self.platform));
+        let process = self
+            .start_daemon(Program::Balancer, name, &settings)
+            .await?;
+        self.tell_interposer(Role::Balancer, name, process.addresses());
+        let addr: BalancerAddr = BalancerAddr::deserialize(process.addresses())?;
+        Ok(Balancer {
+            process,
+            domain,
+            addr,
+            reached: reached.unwrap_or(addr.http),
+            packets: front.packets.unwrap_or(addr.packets),
+        })
+    }
+
+    async fn start_agent(
+        &mut self,
+        upstream: &str,
+        domain: &str,
+    ) -> Result<(Process, AgentAddr), Error> {
+        let front = self.front(Role::Agent, upstream);
+        let mut settings = self.common(upstream, domain, front.advertise);
+        settings["local"] = json!(LOOPBACK_ANY);
+        let name = format!("agent-{upstream}");
+        let process = self.start_daemon(Program::Agent, &name, &settings).await?;
+        self.tell_interposer(Role::Agent, upstream, process.addresses());
+        let addr = AgentAddr::deserialize(process.addresses())?;
+        Ok((process, addr))
+    }
+
+    async fn start_upstream(
+        &self,
+        name: &str,
+        plan: &Plan,
+        local: SocketAddr,
+    ) -> Result<(Process, SocketAddr), Error> {
+        let args = [
+            "upstream",
+            "--name",
+            name,
+            "--service",
+            &plan.service,
+            "--agent",
+            &format!("http://{local}"),
+            "--slots",
+            &plan.slots.to_string(),
+            "--connections",
+            &plan.connections.to_string(),
+            "--speed",
+            &plan.speed.to_string(),
+        ];
+        let process = start_standin(self.dir(), &self.options, name, &args).await?;
+        let http = http(&process)?;
+        Ok((process, http))
+    }
+
+    async fn start_daemon(
+        &self,
+        program: Program,
+        name: &str,
+        settings: &Value,
+    ) -> Result<Process, Error> {
+        let path = self.write(name, settings)?;
+        let args = vec!["run".into(), "--settings".into(), path.into_os_string()];
+        let process = Process::start(process::Spec {
+            name,
+            program,
+            args,
+            dir: self.dir.path(),
+            filter: &self.options.filter,
+        });
+        Ok(process.await?)
+    }
+
+    fn common(&self, name: &str, domain: &str, advertise: Value) -> Value {
+        let seeds: Vec<_> = self.balancers.iter().map(|one| one.reached).collect();
+        let mut settings = json!({
+            "name": name,
+            "domain": domain,
+            "packets": LOOPBACK_ANY,
+            "http": LOOPBACK_ANY,
+            "seeds": seeds,
+            "fleet_key": FLEET_KEY,
+            "operator_token": OPERATOR_TOKEN,
+            "period_ms": self.options.period,
+        });
+        if !advertise.is_null() {
+            settings["advertise"] = advertise;
+        }
+        settings
+    }
+
+    fn front(&mut self, role: Role, name: &str) -> Front {
+        let interposer = self.options.interposer.as_mut();
+        interposer.map_or_else(Front::default, |interposer| (interposer.before)(role, name))
+    }
+
+    fn tell_interposer(&mut self, role: Role, name: &str, addresses: &Value) {
+        if let Some(interposer) = &mut self.options.interposer {
+            (interposer.after)(role, name, addresses);
+        }
+    }
+
+    async fn tell_fabric(&self) -> Result<(), Error> {
+        let list: Vec<_> = self
+            .balancers
+            .iter()
+            .map(|one| json!({"packets": one.packets, "http": format!("http://{}", one.addr.http)}))
+            .collect();
+        self.post(self.fabric, "/balancers", &json!(list)).await
+    }
+
+    async fn read_ports(&self) -> Result<Vec<(String, SocketAddr)>, Error> {
+        let listed = self.get(self.fabric, "/services").await?;
+        let mut ports: Vec<Port> = serde_json::from_value(listed)?;
+        ports.sort_by(|a, b| a.name.cmp(&b.name));
+        Ok(ports.into_iter().map(|one| (one.name, one.port)).collect())
+    }
+
+    async fn read_ledger(
+        &self,
+        upstream: &str,
+        http: SocketAddr,
+    ) -> Result<Vec<history::Execution>, Error> {
+        let listed = self.get(http, "/ledger").await?;
+        let runs: Vec<Run> = serde_json::from_value(listed)?;
+        Ok(runs
+            .into_iter()
+            .map(|run| history::Execution {
+                id: run.id,
+                service: run.service,
+                upstream: upstream.to_owned(),
+            })
+            .collect())
+    }
+
+    /// Reads a stopping upstream's ledger until it ends; the last whole reading counts.
+    async fn follow_ledger(&mut self, index: usize) -> Result<(), Error> {
+        let clock = clock::Clock::new();
+        while self.upstreams[index].process.is_running() {
+            self.save_ledger(index).await;
+            tokio::task::yield_now().await;
+            if clock.now() > process::LIMIT {
+                break;
+            }
+        }
+        self.upstreams[index].process.ended(process::LIMIT).await?;
+        Ok(())
+    }
+
+    async fn save_ledger(&mut self, index: usize) {
+        let upstream = &self.upstreams[index];
+        let name = upstream.name.clone();
+        if let Ok(runs) = self.read_ledger(&name, upstream.http).await {
+            self.saved.retain(|run| run.upstream != name);
+            self.saved.extend(runs);
+        }
+    }
+
+    fn write(&self, name: &str, value: &Value) -> Result<PathBuf, Error> {
+        let path = self.dir.path().join(format!("{name}.json"));
+        fs::write(&path, value.to_string())?;
+        Ok(path)
+    }
+
+    fn balancer(&self, name: &str) -> Result<usize, Error> {
+        self.balancers
+            .iter()
+            .position(|one| one.process.name() == name)
+            .ok_or_else(|| Error::Name(name.to_owned()))
+    }
+
+    fn upstream(&self, name: &str) -> Result<usize, Error> {
+        self.upstreams
+            .iter()
+            .position(|one| one.name == name)
+            .ok_or_else(|| Error::Name(name.to_owned()))
+    }
+}
+
+#[derive(Deserialize)]
+struct Port {
+    name: String,
+    port: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Run {
+    id: String,
+    service: String,
+}
+
+async fn start_standin<A: AsRef<str>>(
+    dir: &Path,
+    options: &Options,
+    name: &str,
+    args: &[A],
+) -> Result<Process, Error> {
+    let process = Process::start(process::Spec {
+        name,
+        program: Program::Standin,
+        args: args.iter().map(|arg| arg.as_ref().into()).collect(),
+        dir,
+        filter: &options.filter,
+    });
+    Ok(process.await?)
+}
+
+fn http(process: &Process) -> Result<SocketAddr, Error> {
+    Ok(HttpAddr::deserialize(process.addresses())?.http)
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .pool_max_idle_per_host(0)
+        .timeout(clock::Millis(10_000).to_duration())
+        .build()
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/xtask/src/app.rs
@@ -0,0 +1,67 @@
+//! Command line of the developer commands.
+
+use tokio::{runtime, signal, signal::unix};
+
+use crate::{demo, release};
+
+/// The parsed command line.
+mod flags {
+    xflags::xflags! {
+        /// Developer commands of cassiacross.
+        cmd xtask {
+            /// Runs a whole fleet on this machine and ends by itself.
+            ///
+            /// Exit status 0 if no rule was broken and each request is accounted for.
+            cmd demo {
+                /// Fewer processes and less work.
+                optional --small
+                /// Prints a JSON object as the last line.
+                optional --json
+                /// Keeps the fleet up until interrupted, and prints its addresses.
+                optional --hold
+                /// Seed of arrivals and fabric, 1 by default.
+                optional --seed seed: u64
+                /// Seconds of load.
+                optional --seconds seconds: u64
+            }
+        }
+    }
+}
+
+/// Runs the command; false if it ran and its checks failed.
+pub fn run() -> anyhow::Result<bool> {
+    let flags = flags::Xtask::from_env_or_exit();
+    release::build()?;
+    let runtime = runtime::Builder::new_multi_thread().enable_all().build()?;
+    runtime.block_on(async {
+        tokio::select! {
+            result = dispatch(flags.subcommand) => result,
+            result = interrupted() => result,
+        }
+    })
+}
+
+async fn dispatch(command: flags::XtaskCmd) -> anyhow::Result<bool> {
+    match command {
+        flags::XtaskCmd::Demo(demo) => {
+            demo::run(demo::Options {
+                small: demo.small,
+                json: demo.json,
+                hold: demo.hold,
+                seed: demo.seed.unwrap_or(1),
+                seconds: demo.seconds,
+            })
+            .await
+        }
+    }
+}
+
+/// Ends the command by dropping what it started.
+async fn interrupted() -> anyhow::Result<bool> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    tokio::select! {
+        result = signal::ctrl_c() => result?,
+        _ = terminate.recv() => {}
+    }
+    anyhow::bail!("interrupted")
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,227 @@
+//! The demo: a whole fleet under ordinary work, with planned changes in the middle.
+
+use std::time::Duration;
+
+use cassiacross::clock;
+use serde_json::{Value, json};
+use standins::{
+    deployment,
+    fleet::{self, Fleet},
+    history::{self, Violation},
+    load,
+};
+use tokio::time;
+
+const SECONDS: u64 = 20;
+const SMALL_SECONDS: u64 = 9;
+const PATIENCE: clock::Millis = clock::Millis(30_000);
+const SILENCE: clock::Millis = clock::Millis(5_000);
+const TICK: Duration = Duration::from_secs(1);
+const SHOWN_VIOLATIONS: usize = 10;
+
+/// What the demo is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Fewer processes and less work.
+    pub small: bool,
+    /// A JSON object as the last line.
+    pub json: bool,
+    /// Keep the fleet up.
+    pub hold: bool,
+    /// Seed of arrivals and fabric.
+    pub seed: u64,
+    /// Seconds of load.
+    pub seconds: Option<u64>,
+}
+
+/// Runs the demo; false if a rule was broken.
+pub async fn run(options: Options) -> anyhow::Result<bool> {
+    let deployment = if options.small {
+        deployment::small()
+    } else {
+        deployment::coop()
+    };
+    println!("starting the fleet of {}", deployment.name);
+    let fleet_options = fleet::Options {
+        seed: options.seed,
+        ..fleet::Options::default()
+    };
+    let mut fleet = Fleet::start(deployment, fleet_options).await?;
+    print_addresses(&fleet);
+    if options.hold {
+        println!("the fleet stays up until this command is interrupted");
+        std::future::pending::<()>().await;
+    }
+    let clock = clock::Clock::new();
+    let recorder = history::Recorder::default();
+    let plans = fleet.deployment().mix.clone();
+    let load = load::Load::start(settings(&fleet, options.seed), &plans, &recorder);
+    work(&mut fleet, &load, seconds(options)).await?;
+    let figures = load.stop().await;
+    let report = history::check(&recorder.events(), &fleet.ledger().await?);
+    let elapsed = clock.now();
+    fleet.stop().await?;
+    print_summary(&figures, &report);
+    let passed = passed(&report);
+    if options.json {
+        println!("{}", summary(options, &figures, &report, elapsed, passed));
+    }
+    Ok(passed)
+}
+
+/// Lets the load run, and changes the fleet at a third and at two thirds of the time.
+async fn work(fleet: &mut Fleet, load: &load::Load, seconds: u64) -> anyhow::Result<()> {
+    let mut ticks = time::interval(TICK);
+    ticks.tick().await;
+    for second in 1..=seconds {
+        ticks.tick().await;
+        print_line(second, &load.figures());
+        if second == seconds / 3 {
+            replace_balancer(fleet).await?;
+        }
+        if second == seconds * 2 / 3 {
+            drain_upstream(fleet).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn replace_balancer(fleet: &mut Fleet) -> anyhow::Result<()> {
+    let old = fleet.balancers[0].process.name().to_owned();
+    let new = fleet.replace_balancer(&old).await?;
+    println!("      {old} stopped, {new} took its place");
+    Ok(())
+}
+
+async fn drain_upstream(fleet: &Fleet) -> anyhow::Result<()> {
+    let upstream = &fleet.upstreams[fleet.upstreams.len() - 1];
+    fleet
+        .operator(&["drain", &upstream.plan.service, &upstream.name])
+        .await?;
+    println!("      {} drains", upstream.name);
+    Ok(())
+}
+
+fn settings(fleet: &Fleet, seed: u64) -> load::Settings {
+    load::Settings {
+        ports: fleet.ports.clone(),
+        seed,
+        label: format!("demo-{seed}"),
+        patience: PATIENCE,
+        silence: SILENCE,
+    }
+}
+
+fn seconds(options: Options) -> u64 {
+    let default = if options.small {
+        SMALL_SECONDS
+    } else {
+        SECONDS
+    };
+    options.seconds.unwrap_or(default)
+}
+
+fn passed(report: &history::Report) -> bool {
+    report.violations.is_empty() && report.answered > 0 && report.feeds > 0
+}
+
+fn print_addresses(fleet: &Fleet) {
+    println!("platform  http://{}", fleet.platform);
+    println!("fabric    http://{}", fleet.fabric);
+    for balancer in &fleet.balancers {
+        let name = balancer.process.name();
+        println!("{name}  http://{}/state", balancer.addr.http);
+    }
+    for upstream in &fleet.upstreams {
+        let http = upstream.addr.http;
+        println!("agent of {}  http://{http}/state", upstream.name);
+    }
+    for (service, port) in &fleet.ports {
+        println!("service {service}  http://{port}/");
+    }
+}
+
+fn print_line(second: u64, figures: &[load::Figures]) {
+    let parts: Vec<_> = figures.iter().map(part).collect();
+    println!("{second:>3} s  {}", parts.join("; "));
+}
+
+fn part(figures: &load::Figures) -> String {
+    if figures.open > 0 || figures.broken > 0 {
+        return format!(
+            "{} {} open, {} broken",
+            figures.kind, figures.open, figures.broken
+        );
+    }
+    format!(
+        "{} {} answered, {} refused, {} unknown, p99 {} ms",
+        figures.kind,
+        figures.answered,
+        figures.refused,
+        figures.unknown,
+        figures.latency.value_at_quantile(0.99) / 1_000,
+    )
+}
+
+fn print_summary(figures: &[load::Figures], report: &history::Report) {
+    println!();
+    println!(
+        "{:<14}{:>8}{:>10}{:>9}{:>9}{:>7}{:>10}{:>10}",
+        "kind", "sent", "answered", "refused", "unknown", "late", "p50 ms", "p99 ms"
+    );
+    for one in figures {
+        println!(
+            "{:<14}{:>8}{:>10}{:>9}{:>9}{:>7}{:>10}{:>10}",
+            one.kind,
+            one.sent,
+            one.answered,
+            one.refused,
+            one.unknown,
+            one.late,
+            one.latency.value_at_quantile(0.5) / 1_000,
+            one.latency.value_at_quantile(0.99) / 1_000,
+        );
+    }
+    println!("{report}");
+    for violation in report.violations.iter().take(SHOWN_VIOLATIONS) {
+        println!("  {violation:?}");
+    }
+}
+
+fn summary(
+    options: Options,
+    figures: &[load::Figures],
+    report: &history::Report,
+    elapsed: clock::Millis,
+    passed: bool,
+) -> Value {
+    let unaccounted = report.count(|violation| matches!(violation, Violation::Unaccounted(_)));
+    let kinds: Vec<_> = figures.iter().map(kind_summary).collect();
+    json!({
+        "requests": report.requests,
+        "answered": report.answered,
+        "refused": report.refused,
+        "unknown": report.unknown,
+        "wrong_service": report.wrong_service(),
+        "doubled": report.doubled(),
+        "feeds": report.feeds,
+        "broken_feeds": report.broken_feeds(),
+        "unaccounted": unaccounted,
+        "violations": report.violations.len(),
+        "seconds": elapsed.to_duration().as_secs_f64(),
+        "seed": options.seed,
+        "kinds": kinds,
+        "passed": passed,
+    })
+}
+
+fn kind_summary(figures: &load::Figures) -> Value {
+    json!({
+        "kind": figures.kind,
+        "sent": figures.sent,
+        "answered": figures.answered,
+        "late": figures.late,
+        "p50_us": figures.latency.value_at_quantile(0.5),
+        "p99_us": figures.latency.value_at_quantile(0.99),
+    })
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,3 +1,18 @@
-//! Developer commands.
+//! Developer commands: demo, proof runs and measurements.
 
-fn main() {}
+use std::process::ExitCode;
+
+mod app;
+mod demo;
+mod release;
+
+fn main() -> ExitCode {
+    match app::run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("xtask: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
