--- a/standins/src/deployment.rs
+++ b/standins/src/deployment.rs
@@ -4,7 +4,7 @@
 use reqwest::Method;
 use serde_json::Value;
 
-use crate::{history::Safety, load};
+use crate::{exchange, history::Safety, load};
 
 const CONNECTIONS: u32 = 2_000;
 const SLOWEST: f64 = 1.0;
@@ -53,7 +53,7 @@
         clippy::cast_precision_loss,
         reason = "work takes milliseconds, not years"
     )]
-    pub fn capacity(&self, kind: &load::Kind) -> f64 {
+    pub fn capacity(&self, kind: &exchange::Kind) -> f64 {
         let speed: f64 = self.speeds.iter().sum();
         f64::from(self.slots) * speed * 1_000.0 / kind.work.0 as f64
     }
@@ -129,8 +129,8 @@
 
 /// A driver's report of a pickup.
 #[must_use]
-pub fn pickup() -> load::Kind {
-    load::Kind {
+pub fn pickup() -> exchange::Kind {
+    exchange::Kind {
         name: "pickup",
         service: "ledger",
         method: Method::POST,
@@ -144,8 +144,8 @@
 
 /// A clerk's upload of a scanned return sheet.
 #[must_use]
-pub fn sheet() -> load::Kind {
-    load::Kind {
+pub fn sheet() -> exchange::Kind {
+    exchange::Kind {
         name: "sheet",
         service: "intake",
         method: Method::POST,
@@ -159,8 +159,8 @@
 
 /// A farm's look at its stock.
 #[must_use]
-pub fn stock_read() -> load::Kind {
-    load::Kind {
+pub fn stock_read() -> exchange::Kind {
+    exchange::Kind {
         name: "stock",
         service: "ledger",
         method: Method::GET,
@@ -174,8 +174,8 @@
 
 /// A farm's open feed of its stock.
 #[must_use]
-pub fn stock_feed() -> load::Kind {
-    load::Kind {
+pub fn stock_feed() -> exchange::Kind {
+    exchange::Kind {
         name: "stock feed",
         service: "ledger",
         path: "/feed/stock",
@@ -185,8 +185,8 @@
 
 /// A hub's report of a lamp reading.
 #[must_use]
-pub fn reading() -> load::Kind {
-    load::Kind {
+pub fn reading() -> exchange::Kind {
+    exchange::Kind {
         name: "reading",
         service: "reminders",
         path: "/readings",
@@ -196,8 +196,8 @@
 
 /// A keeper's upload of a photograph.
 #[must_use]
-pub fn photograph() -> load::Kind {
-    load::Kind {
+pub fn photograph() -> exchange::Kind {
+    exchange::Kind {
         name: "photograph",
         service: "photographs",
         path: "/photographs",
@@ -207,8 +207,8 @@
 
 /// An app's look at its schedule.
 #[must_use]
-pub fn schedule_read() -> load::Kind {
-    load::Kind {
+pub fn schedule_read() -> exchange::Kind {
+    exchange::Kind {
         name: "schedule",
         service: "reminders",
         path: "/schedules",
@@ -218,8 +218,8 @@
 
 /// A keeper's open feed of reminders.
 #[must_use]
-pub fn reminder_feed() -> load::Kind {
-    load::Kind {
+pub fn reminder_feed() -> exchange::Kind {
+    exchange::Kind {
         name: "reminder feed",
         service: "reminders",
         path: "/feed/reminders",
@@ -250,7 +250,7 @@
 
 /// Requests that arrive at random at a mean rate.
 #[must_use]
-pub const fn open(kind: load::Kind, per_second: f64) -> load::Plan {
+pub const fn open(kind: exchange::Kind, per_second: f64) -> load::Plan {
     load::Plan {
         kind,
         arrival: load::Arrival::Open { per_second },
@@ -259,15 +259,15 @@
 
 /// Callers that each hold a feed.
 #[must_use]
-pub const fn feeds(kind: load::Kind, callers: u32) -> load::Plan {
+pub const fn feeds(kind: exchange::Kind, callers: u32) -> load::Plan {
     load::Plan {
         kind,
         arrival: load::Arrival::Feeds { callers },
     }
 }
 
-fn feed() -> load::Kind {
-    load::Kind {
+fn feed() -> exchange::Kind {
+    exchange::Kind {
         deadline: None,
         work: clock::Millis(0),
         ..stock_read()
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -8,7 +8,7 @@
     ffi::OsString,
     fmt::Debug,
     fs, io,
-    net::{SocketAddr, SocketAddrV4},
+    net::SocketAddr,
     path::{Path, PathBuf},
 };
 
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use crate::{
-    deployment, history,
+    call, deployment, front, history, host,
     process::{self, Process, Program, Signal},
     wait,
 };
@@ -43,12 +43,12 @@
     /// Settings could not be written.
     #[error("settings cannot be written: {0}")]
     Settings(#[from] io::Error),
-    /// A call failed.
-    #[error("call failed: {0}")]
-    Call(#[from] reqwest::Error),
-    /// A process told something that cannot be read.
-    #[error("answer cannot be read: {0}")]
-    Answer(#[from] serde_json::Error),
+    /// A call gave nothing.
+    #[error(transparent)]
+    Call(#[from] call::Error),
+    /// A process told addresses of another shape.
+    #[error("addresses cannot be read: {0}")]
+    Addresses(#[from] serde_json::Error),
     /// The operator tool refused.
     #[error("cassiacross {args}: {message}")]
     Operator {
@@ -72,7 +72,7 @@
     /// Filter of the processes' logs.
     pub filter: String,
     /// Puts proxies between the processes.
-    pub interposer: Option<Interposer>,
+    pub interposer: Option<front::Interposer>,
 }
 
 impl Default for Options {
@@ -86,138 +86,29 @@
     }
 }
 
-/// What a process is to the fleet.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Role {
-    /// A balancer.
-    Balancer,
-    /// An agent.
-    Agent,
-}
-
-/// Where others reach a process that has proxies before it.
-#[derive(Clone, Debug, Default)]
-pub struct Front {
-    /// The `advertise` settings; null for none.
-    pub advertise: Value,
-    /// Where the fabric reaches a balancer's packets, if not where they are bound.
-    pub packets: Option<SocketAddrV4>,
-}
-
-/// Gives the proxies before a process of a role and name, which listen already.
-pub type Before = dyn FnMut(Role, &str) -> Front + Send;
-
-/// Takes role, name and the addresses that a process told.
-pub type After = dyn FnMut(Role, &str, &Value) + Send;
-
-/// Puts proxies between the processes of a fleet.
-///
-/// `before` is asked ahead of each start; `after` learns the addresses that
-/// the process told, which its proxies then forward to.
-pub struct Interposer {
-    /// Asked ahead of each start.
-    pub before: Box<Before>,
-    /// Told after each start.
-    pub after: Box<After>,
-}
-
-impl Debug for Interposer {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Interposer")
-    }
-}
-
-/// Addresses of a balancer.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-pub struct BalancerAddr {
-    /// Where GUE datagrams arrive.
-    pub packets: SocketAddrV4,
-    /// Where sealed datagrams arrive.
-    pub control: SocketAddrV4,
-    /// Where HTTP calls arrive.
-    pub http: SocketAddrV4,
-}
-
-/// Addresses of an agent.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
-pub struct AgentAddr {
-    /// Where sealed datagrams arrive.
-    pub packets: SocketAddrV4,
-    /// Where HTTP calls arrive.
-    pub http: SocketAddrV4,
-    /// Where the upstream announces itself.
-    pub local: SocketAddr,
-}
-
 #[derive(Clone, Copy, Debug, Deserialize)]
 struct HttpAddr {
     http: SocketAddr,
 }
 
-/// A balancer of a fleet.
-#[derive(Debug)]
-pub struct Balancer {
-    /// The process.
-    pub process: Process,
-    /// Its failure domain.
-    pub domain: String,
-    /// Its addresses.
-    pub addr: BalancerAddr,
-    /// Where others reach its HTTP calls.
-    pub reached: SocketAddrV4,
-    /// Where the fabric reaches its packets.
-    pub packets: SocketAddrV4,
-}
-
-/// An upstream host of a fleet.
-#[derive(Debug)]
-pub struct Upstream {
-    /// Name of the upstream.
-    pub name: String,
-    /// The agent's process.
-    pub agent: Process,
-    /// Addresses of the agent.
-    pub addr: AgentAddr,
-    /// The upstream's process.
-    pub process: Process,
-    /// Where the upstream takes HTTP calls.
-    pub http: SocketAddr,
-    /// What the host is like.
-    pub plan: Plan,
-}
-
-/// What an upstream host is like.
-#[derive(Clone, Debug)]
-pub struct Plan {
-    /// Name of the service.
-    pub service: String,
-    /// Failure domain.
-    pub domain: String,
-    /// Requests that the upstream runs at a time.
-    pub slots: u32,
-    /// Connections that the upstream takes.
-    pub connections: u32,
-    /// Speed of the upstream.
-    pub speed: f64,
-}
-
 /// A running fleet.
 #[derive(Debug)]
 pub struct Fleet {
     /// The balancers, the oldest first.
-    pub balancers: Vec<Balancer>,
+    pub balancers: Vec<host::Balancer>,
     /// The upstream hosts.
-    pub upstreams: Vec<Upstream>,
+    pub upstreams: Vec<host::Upstream>,
     /// Address of the platform's HTTP calls.
     pub platform: SocketAddr,
     /// Address of the fabric's HTTP calls.
     pub fabric: SocketAddr,
+    /// Calls the processes.
+    pub client: call::Client,
     /// TCP ports of the services at the fabric, sorted by name.
     pub ports: Vec<(String, SocketAddr)>,
     processes: Vec<Process>,
     deployment: deployment::Deployment,
     options: Options,
-    client: reqwest::Client,
     started: usize,
     lost: Vec<String>,
     saved: Vec<history::Execution>,
@@ -264,13 +155,13 @@
             processes: vec![fabric, platform],
             deployment,
             options,
-            client: client(),
+            client: call::Client::new()?,
             started: 0,
             lost: Vec::new(),
             saved: Vec::new(),
             dir,
         };
-        fleet.ports = fleet.read_ports().await?;
+        fleet.ports = fleet.client.ports(fleet.fabric).await?;
         Ok(fleet)
     }
 
@@ -285,7 +176,7 @@
         self.balancers.push(balancer);
         let what = format!("readiness of {name}");
         wait::until(&what, wait::LIMIT, async || {
-            self.is_ready(http.into()).await
+            self.client.is_ready(http.into()).await
         })
         .await?;
         self.tell_fabric().await?;
@@ -315,10 +206,10 @@
     }
 
     /// Starts an agent and its upstream under a new name.
-    pub async fn add_upstream(&mut self, name: &str, plan: &Plan) -> Result<(), Error> {
+    pub async fn add_upstream(&mut self, name: &str, plan: &host::Plan) -> Result<(), Error> {
         let (agent, addr) = self.start_agent(name, &plan.domain).await?;
         let (process, http) = self.start_upstream(name, plan, addr.local).await?;
-        self.upstreams.push(Upstream {
+        self.upstreams.push(host::Upstream {
             name: name.to_owned(),
             agent,
             addr,
@@ -410,39 +301,13 @@
             lost: self.lost.clone(),
         };
         for upstream in &self.upstreams {
-            let runs = self.read_ledger(&upstream.name, upstream.http).await?;
+            let runs = self.client.ledger(&upstream.name, upstream.http).await?;
             ledger.executions.extend(runs);
         }
         ledger.lost.sort();
         Ok(ledger)
     }
 
-    /// A process's tables as it dumps them.
-    pub async fn state(&self, http: SocketAddr) -> Result<Value, Error> {
-        self.get(http, "/state").await
-    }
-
-    /// Whether a process says that it is ready.
-    pub async fn is_ready(&self, http: SocketAddr) -> bool {
-        let call = self.client.get(format!("http://{http}/ready")).send();
-        call.await
-            .is_ok_and(|response| response.status().is_success())
-    }
-
-    /// Posts JSON to a stand-in, for example to its `/faults`.
-    pub async fn post(&self, http: SocketAddr, path: &str, body: &Value) -> Result<(), Error> {
-        let call = self.client.post(format!("http://{http}{path}")).json(body);
-        call.send().await?.error_for_status()?;
-        Ok(())
-    }
-
-    /// Reads JSON from a process.
-    pub async fn get(&self, http: SocketAddr, path: &str) -> Result<Value, Error> {
-        let call = self.client.get(format!("http://{http}{path}"));
-        let response = call.send().await?.error_for_status()?;
-        Ok(response.json().await?)
-    }
-
     /// TCP port of a service at the fabric.
     pub fn port(&self, service: &str) -> Result<SocketAddr, Error> {
         self.ports
@@ -490,7 +355,7 @@
     async fn add_upstreams(&mut self, service: &deployment::Service) -> Result<(), Error> {
         for (index, speed) in service.speeds.iter().enumerate() {
             let domains = &self.deployment.domains;
-            let plan = Plan {
+            let plan = host::Plan {
                 service: service.name.to_owned(),
                 domain: domains[index % domains.len()].to_owned(),
                 slots: service.slots,
@@ -508,26 +373,25 @@
         for upstream in &self.upstreams {
             let what = format!("readiness of the agent of {}", upstream.name);
             let http = upstream.addr.http.into();
-            wait::until(&what, wait::LIMIT, async || self.is_ready(http).await).await?;
+            wait::until(&what, wait::LIMIT, async || {
+                self.client.is_ready(http).await
+            })
+            .await?;
         }
         for (service, port) in &self.ports {
             let what = format!("answer of {service}");
             let url = format!("http://{port}/settle");
-            wait::until(&what, wait::LIMIT, async || self.answers(&url).await).await?;
+            wait::until(&what, wait::LIMIT, async || self.client.answers(&url).await).await?;
         }
         Ok(())
     }
 
-    async fn answers(&self, url: &str) -> bool {
-        let call = self.client.get(url).header("x-work-ms", 1);
-        let response = call.timeout(clock::Millis(2_000).to_duration()).send();
-        response
-            .await
-            .is_ok_and(|response| response.status().is_success())
-    }
-
-    async fn start_balancer(&mut self, name: &str, domain: String) -> Result<Balancer, Error> {
-        let front = self.front(Role::Balancer, name);
+    async fn start_balancer(
+        &mut self,
+        name: &str,
+        domain: String,
+    ) -> Result<host::Balancer, Error> {
+        let front = self.front(front::Role::Balancer, name);
         let reached = front.advertise["http"].as_str();
         let reached = reached.and_then(|http| http.parse().ok());
         let mut settings = self.common(name, &domain, front.advertise);
@@ -536,9 +400,9 @@
         let process = self
             .start_daemon(Program::Balancer, name, &settings)
             .await?;
-        self.tell_interposer(Role::Balancer, name, process.addresses());
-        let addr: BalancerAddr = BalancerAddr::deserialize(process.addresses())?;
-        Ok(Balancer {
+        self.tell_interposer(front::Role::Balancer, name, process.addresses());
+        let addr: host::BalancerAddr = host::BalancerAddr::deserialize(process.addresses())?;
+        Ok(host::Balancer {
             process,
             domain,
             addr,
@@ -551,21 +415,21 @@
         &mut self,
         upstream: &str,
         domain: &str,
-    ) -> Result<(Process, AgentAddr), Error> {
-        let front = self.front(Role::Agent, upstream);
+    ) -> Result<(Process, host::AgentAddr), Error> {
+        let front = self.front(front::Role::Agent, upstream);
         let mut settings = self.common(upstream, domain, front.advertise);
         settings["local"] = json!(LOOPBACK_ANY);
         let name = format!("agent-{upstream}");
         let process = self.start_daemon(Program::Agent, &name, &settings).await?;
-        self.tell_interposer(Role::Agent, upstream, process.addresses());
-        let addr = AgentAddr::deserialize(process.addresses())?;
+        self.tell_interposer(front::Role::Agent, upstream, process.addresses());
+        let addr = host::AgentAddr::deserialize(process.addresses())?;
         Ok((process, addr))
     }
 
     async fn start_upstream(
         &self,
         name: &str,
-        plan: &Plan,
+        plan: &host::Plan,
         local: SocketAddr,
     ) -> Result<(Process, SocketAddr), Error> {
         let args = [
@@ -624,12 +488,14 @@
         settings
     }
 
-    fn front(&mut self, role: Role, name: &str) -> Front {
+    fn front(&mut self, role: front::Role, name: &str) -> front::Front {
         let interposer = self.options.interposer.as_mut();
-        interposer.map_or_else(Front::default, |interposer| (interposer.before)(role, name))
+        interposer.map_or_else(front::Front::default, |interposer| {
+            (interposer.before)(role, name)
+        })
     }
 
-    fn tell_interposer(&mut self, role: Role, name: &str, addresses: &Value) {
+    fn tell_interposer(&mut self, role: front::Role, name: &str, addresses: &Value) {
         if let Some(interposer) = &mut self.options.interposer {
             (interposer.after)(role, name, addresses);
         }
@@ -641,31 +507,9 @@
             .iter()
             .map(|one| json!({"packets": one.packets, "http": format!("http://{}", one.addr.http)}))
             .collect();
-        self.post(self.fabric, "/balancers", &json!(list)).await
-    }
-
-    async fn read_ports(&self) -> Result<Vec<(String, SocketAddr)>, Error> {
-        let listed = self.get(self.fabric, "/services").await?;
-        let mut ports: Vec<Port> = serde_json::from_value(listed)?;
-        ports.sort_by(|a, b| a.name.cmp(&b.name));
-        Ok(ports.into_iter().map(|one| (one.name, one.port)).collect())
-    }
-
-    async fn read_ledger(
-        &self,
-        upstream: &str,
-        http: SocketAddr,
-    ) -> Result<Vec<history::Execution>, Error> {
-        let listed = self.get(http, "/ledger").await?;
-        let runs: Vec<Run> = serde_json::from_value(listed)?;
-        Ok(runs
-            .into_iter()
-            .map(|run| history::Execution {
-                id: run.id,
-                service: run.service,
-                upstream: upstream.to_owned(),
-            })
-            .collect())
+        let list = json!(list);
+        self.client.post(self.fabric, "/balancers", &list).await?;
+        Ok(())
     }
 
     /// Reads a stopping upstream's ledger until it ends; the last whole reading counts.
@@ -685,7 +529,7 @@
     async fn save_ledger(&mut self, index: usize) {
         let upstream = &self.upstreams[index];
         let name = upstream.name.clone();
-        if let Ok(runs) = self.read_ledger(&name, upstream.http).await {
+        if let Ok(runs) = self.client.ledger(&name, upstream.http).await {
             self.saved.retain(|run| run.upstream != name);
             self.saved.extend(runs);
         }
@@ -712,18 +556,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Port {
-    name: String,
-    port: SocketAddr,
-}
-
-#[derive(Deserialize)]
-struct Run {
-    id: String,
-    service: String,
-}
-
 async fn start_standin<A: AsRef<str>>(
     dir: &Path,
     options: &Options,
@@ -743,12 +575,3 @@
 fn http(process: &Process) -> Result<SocketAddr, Error> {
     Ok(HttpAddr::deserialize(process.addresses())?.http)
 }
-
-fn client() -> reqwest::Client {
-    reqwest::Client::builder()
-        .no_proxy()
-        .pool_max_idle_per_host(0)
-        .timeout(clock::Millis(10_000).to_duration())
-        .build()
-        .unwrap_or_default()
-}
--- /dev/null
+++ b/standins/src/host.rs
@@ -0,0 +1,76 @@
+//! Hosts of a fleet: their processes and addresses.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use serde::Deserialize;
+
+use crate::process::Process;
+
+/// Addresses of a balancer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct BalancerAddr {
+    /// Where GUE datagrams arrive.
+    pub packets: SocketAddrV4,
+    /// Where sealed datagrams arrive.
+    pub control: SocketAddrV4,
+    /// Where HTTP calls arrive.
+    pub http: SocketAddrV4,
+}
+
+/// Addresses of an agent.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct AgentAddr {
+    /// Where sealed datagrams arrive.
+    pub packets: SocketAddrV4,
+    /// Where HTTP calls arrive.
+    pub http: SocketAddrV4,
+    /// Where the upstream announces itself.
+    pub local: SocketAddr,
+}
+
+/// A balancer of a fleet.
+#[derive(Debug)]
+pub struct Balancer {
+    /// The process.
+    pub process: Process,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its addresses.
+    pub addr: BalancerAddr,
+    /// Where others reach its HTTP calls.
+    pub reached: SocketAddrV4,
+    /// Where the fabric reaches its packets.
+    pub packets: SocketAddrV4,
+}
+
+/// An upstream host of a fleet.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Name of the upstream.
+    pub name: String,
+    /// The agent's process.
+    pub agent: Process,
+    /// Addresses of the agent.
+    pub addr: AgentAddr,
+    /// The upstream's process.
+    pub process: Process,
+    /// Where the upstream takes HTTP calls.
+    pub http: SocketAddr,
+    /// What the host is like.
+    pub plan: Plan,
+}
+
+/// What an upstream host is like.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Name of the service.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that the upstream runs at a time.
+    pub slots: u32,
+    /// Connections that the upstream takes.
+    pub connections: u32,
+    /// Speed of the upstream.
+    pub speed: f64,
+}
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -8,7 +8,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
 };
@@ -17,45 +17,18 @@
 use futures_util::StreamExt;
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use reqwest::{Method, StatusCode, header};
+use thiserror::Error;
 use tokio::{sync::watch, task::JoinSet, time};
 
-use crate::history::{self, Action, Outcome, Safety};
-
-/// Header with the identity of a request.
-pub const ID_HEADER: &str = "x-request-id";
+use crate::{
+    exchange,
+    history::{self, Action, Outcome},
+};
 
-const WORK_HEADER: &str = "x-work-ms";
-const SERVICE_HEADER: &str = "x-service";
-const UPSTREAM_HEADER: &str = "x-upstream";
-const DEADLINE_HEADER: &str = "cassiacross-deadline-ms";
-const OUTCOME_HEADER: &str = "cassiacross-outcome";
-const NOT_RUN: &str = "not-run";
 const MAX_IN_FLIGHT: u32 = 4_000;
 const HIGHEST_LATENCY_US: u64 = 600_000_000;
 const REOPEN_PAUSE: clock::Millis = clock::Millis(500);
 
-/// A kind of request.
-#[derive(Clone, Debug)]
-pub struct Kind {
-    /// Name in reports.
-    pub name: &'static str,
-    /// The service that is asked.
-    pub service: &'static str,
-    /// HTTP method.
-    pub method: Method,
-    /// Path with query.
-    pub path: &'static str,
-    /// Bytes of the body.
-    pub body_len: usize,
-    /// Work at an upstream of speed 1.
-    pub work: clock::Millis,
-    /// Deadline that the caller states, if any.
-    pub deadline: Option<clock::Millis>,
-    /// Whether a second run does harm.
-    pub safety: Safety,
-}
-
 /// When requests of a kind are sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Arrival {
@@ -82,11 +55,16 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// What is sent.
-    pub kind: Kind,
+    pub kind: exchange::Kind,
     /// When it is sent.
     pub arrival: Arrival,
 }
 
+/// A plan names a service that has no port.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("no port is known of service {0}")]
+pub struct UnknownService(pub String);
+
 /// What all plans of a load share.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -149,13 +127,21 @@
     shared: Arc<Shared>,
     plan: Plan,
     index: usize,
+    addr: SocketAddr,
     stop: watch::Receiver<bool>,
 }
 
 impl Load {
     /// Starts the callers of all plans.
-    #[must_use]
-    pub fn start(settings: Settings, plans: &[Plan], recorder: &history::Recorder) -> Self {
+    pub fn start(
+        settings: Settings,
+        plans: &[Plan],
+        recorder: &history::Recorder,
+    ) -> Result<Self, UnknownService> {
+        let addrs: Vec<_> = plans
+            .iter()
+            .map(|plan| port(&settings.ports, plan.kind.service))
+            .collect::<Result<_, _>>()?;
         let (stop, stopped) = watch::channel(false);
         let shared = Arc::new(Shared {
             settings,
@@ -171,15 +157,16 @@
                 shared: Arc::clone(&shared),
                 plan: plan.clone(),
                 index,
+                addr: addrs[index],
                 stop: stopped.clone(),
             };
             start_plan(plan.arrival, caller, &mut tasks);
         }
-        Self {
+        Ok(Self {
             shared,
             stop,
             tasks,
-        }
+        })
     }
 
     /// Figures of all plans so far, in their order.
@@ -258,18 +245,18 @@
     async fn exchange(&self, id: &str) -> Outcome {
         let response = match self.send(id).await {
             Ok(response) => response,
-            Err(error) => return unknown(&error),
+            Err(error) => return exchange::unknown(&error),
         };
-        if let Some(outcome) = refusal(&response) {
+        if let Some(outcome) = exchange::refusal(&response) {
             return outcome;
         }
-        let answer = answer(&response);
+        let answer = exchange::answer(&response);
         match response.bytes().await {
             Ok(body) => Outcome::Answered(history::Answer {
-                whole: contains(&body, id),
+                whole: exchange::contains(&body, id),
                 ..answer
             }),
-            Err(error) => unknown(&error),
+            Err(error) => exchange::unknown(&error),
         }
     }
 
@@ -279,13 +266,13 @@
         let patience = self.shared.settings.patience.to_duration();
         let response = match time::timeout(patience, self.send(&id)).await {
             Ok(Ok(response)) => response,
-            Ok(Err(error)) => return self.not_opened(process, &id, unknown(&error)),
+            Ok(Err(error)) => return self.not_opened(process, &id, exchange::unknown(&error)),
             Err(_) => {
                 let outcome = Outcome::Unknown("the caller gave up".to_owned());
                 return self.not_opened(process, &id, outcome);
             }
         };
-        if let Some(outcome) = refusal(&response) {
+        if let Some(outcome) = exchange::refusal(&response) {
             return self.not_opened(process, &id, outcome);
         }
         recorder.record(process, &id, Action::Opened);
@@ -310,7 +297,7 @@
             };
             match next {
                 Ok(Some(Ok(_))) => {}
-                Ok(Some(Err(error))) => return Some(chain(&error)),
+                Ok(Some(Err(error))) => return Some(exchange::chain(&error)),
                 Ok(None) => return Some("the feed ended".to_owned()),
                 Err(_) => return Some("the feed is silent".to_owned()),
             }
@@ -345,29 +332,10 @@
     }
 
     async fn send(&self, id: &str) -> reqwest::Result<reqwest::Response> {
-        let kind = &self.plan.kind;
-        let url = format!("http://{}{}", self.port(), kind.path);
-        let mut request = self
-            .shared
-            .client
-            .request(kind.method.clone(), url)
-            .header(ID_HEADER, id)
-            .header(WORK_HEADER, kind.work.0);
-        if let Some(deadline) = kind.deadline {
-            request = request.header(DEADLINE_HEADER, deadline.0);
-        }
-        if kind.body_len > 0 {
-            request = request.body(vec![b'x'; kind.body_len]);
-        }
-        request.send().await
-    }
-
-    fn port(&self) -> SocketAddr {
-        let ports = &self.shared.settings.ports;
-        let service = self.plan.kind.service;
-        ports
-            .binary_search_by(|(name, _)| name.as_str().cmp(service))
-            .map_or_else(|_| ([127, 0, 0, 1], 9).into(), |index| ports[index].1)
+        let client = &self.shared.client;
+        exchange::request(client, self.addr, &self.plan.kind, id)
+            .send()
+            .await
     }
 
     async fn is_stopped_by(&mut self, due: time::Instant) -> bool {
@@ -383,6 +351,7 @@
             shared: Arc::clone(&self.shared),
             plan: self.plan.clone(),
             index: self.index,
+            addr: self.addr,
             stop: self.stop.clone(),
         }
     }
@@ -410,6 +379,13 @@
     }
 }
 
+fn port(ports: &[(String, SocketAddr)], service: &str) -> Result<SocketAddr, UnknownService> {
+    ports
+        .binary_search_by(|(name, _)| name.as_str().cmp(service))
+        .map(|index| ports[index].1)
+        .map_err(|_place| UnknownService(service.to_owned()))
+}
+
 fn client() -> reqwest::Client {
     reqwest::Client::builder()
         .pool_max_idle_per_host(0)
@@ -455,54 +431,6 @@
     }
 }
 
-fn refusal(response: &reqwest::Response) -> Option<Outcome> {
-    if response.status().is_success() {
-        return None;
-    }
-    let not_run = response.status() == StatusCode::SERVICE_UNAVAILABLE
-        && text(response.headers(), OUTCOME_HEADER) == NOT_RUN;
-    if not_run {
-        return Some(Outcome::Refused);
-    }
-    Some(Outcome::Unknown(format!("status {}", response.status())))
-}
-
-fn answer(response: &reqwest::Response) -> history::Answer {
-    let headers = response.headers();
-    history::Answer {
-        id: text(headers, ID_HEADER).to_owned(),
-        service: text(headers, SERVICE_HEADER).to_owned(),
-        upstream: text(headers, UPSTREAM_HEADER).to_owned(),
-        whole: false,
-    }
-}
-
-fn text<'a>(headers: &'a header::HeaderMap, name: &str) -> &'a str {
-    headers
-        .get(name)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default()
-}
-
-fn contains(body: &[u8], id: &str) -> bool {
-    body.windows(id.len()).any(|part| part == id.as_bytes())
-}
-
-fn unknown(error: &reqwest::Error) -> Outcome {
-    Outcome::Unknown(chain(error))
-}
-
-fn chain(error: &dyn std::error::Error) -> String {
-    let mut text = error.to_string();
-    let mut source = error.source();
-    while let Some(error) = source {
-        text.push_str(": ");
-        text.push_str(&error.to_string());
-        source = error.source();
-    }
-    text
-}
-
 fn gap(rng: &mut SmallRng, per_second: f64) -> time::Duration {
     let uniform: f64 = rng.random();
     time::Duration::from_secs_f64(-(1.0 - uniform).ln() / per_second)
@@ -512,6 +440,6 @@
     time::Instant::now() + pause.to_duration()
 }
 
-fn lock(figures: &Mutex<Figures>) -> std::sync::MutexGuard<'_, Figures> {
+fn lock(figures: &Mutex<Figures>) -> MutexGuard<'_, Figures> {
     figures.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/standins/tests/load.rs
+++ b/standins/tests/load.rs
@@ -68,7 +68,7 @@
         patience: clock::Millis(5_000),
         silence: clock::Millis(200),
     };
-    let load = load::Load::start(settings, &[plan], &recorder);
+    let load = load::Load::start(settings, &[plan], &recorder).expect("each service has a port");
     while load.figures()[0].sent < 3 {
         tokio::time::sleep(clock::Millis(5).to_duration()).await;
     }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -55,7 +55,7 @@
     let clock = clock::Clock::new();
     let recorder = history::Recorder::default();
     let plans = fleet.deployment().mix.clone();
-    let load = load::Load::start(settings(&fleet, options.seed), &plans, &recorder);
+    let load = load::Load::start(settings(&fleet, options.seed), &plans, &recorder)?;
     work(&mut fleet, &load, seconds(options)).await?;
     let figures = load.stop().await;
     let report = history::check(&recorder.events(), &fleet.ledger().await?);
