--- /dev/null
+++ b/src/bin/cassiacross-balancer/http.rs
@@ -0,0 +1,211 @@
+//! HTTP: readiness, state, counters, and what agents and balancers pull.
+
+use std::{net::SocketAddrV4, panic::RefUnwindSafe};
+
+use cassiacross::{balancer, exchange, ident, member, membership};
+use gotham::{
+    handler::HandlerResult,
+    helpers::http::Body,
+    hyper::{HeaderMap, Response, StatusCode, header},
+    middleware::state::StateMiddleware,
+    mime,
+    pipeline::{new_pipeline, single_pipeline},
+    prelude::*,
+    router::{Router, builder::build_router},
+    state::{State, StateData},
+};
+use http_body_util::{BodyExt, Limited};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::shared;
+
+const MAX_REQUEST: usize = 64 << 10;
+const BEARER: &str = "Bearer ";
+
+impl StateData for shared::Shared {}
+
+/// The locks inside are taken over from a thread that panicked.
+impl RefUnwindSafe for shared::Shared {}
+
+/// The routes of the daemon.
+pub(crate) fn router(shared: shared::Shared) -> Router {
+    let middleware = StateMiddleware::new(shared);
+    let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
+    build_router(chain, pipelines, |route| {
+        route.get("/ready").to(ready);
+        route.get("/state").to(state);
+        route.get("/metrics").to(metrics);
+        route.post("/fleet/view").to_async(view);
+        route.post("/fleet/sync").to_async(sync);
+        route.post("/fleet/records").to_async(records);
+    })
+}
+
+fn ready(state: State) -> (State, Response<Body>) {
+    let ready = shared::Shared::borrow_from(&state).is_ready();
+    let answer = if ready {
+        (StatusCode::OK, mime::TEXT_PLAIN, "ready\n")
+    } else {
+        (
+            StatusCode::SERVICE_UNAVAILABLE,
+            mime::TEXT_PLAIN,
+            "not ready\n",
+        )
+    };
+    respond(state, answer)
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let text = shared::Shared::borrow_from(&state).metrics().text();
+    match text {
+        Ok(text) => respond(state, (StatusCode::OK, mime::TEXT_PLAIN_UTF_8, text)),
+        Err(_) => fail(state, StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    now: cassiacross::clock::Millis,
+    ready: bool,
+    balancer: &'a member::Balancer,
+    timing: Spans,
+    vouching: bool,
+    rumours: usize,
+    members: &'a [membership::MemberRow],
+    balancers: &'a [membership::BalancerRow],
+    tombstones: Vec<membership::Tombstone>,
+    services: &'a [exchange::Versioned],
+    records: &'a [exchange::Hint],
+    routes: Vec<RouteDump>,
+}
+
+#[derive(Serialize)]
+struct Spans {
+    period: u64,
+    heartbeat_timeout: u64,
+    line_timeout: u64,
+}
+
+#[derive(Serialize)]
+struct RouteDump {
+    address: SocketAddrV4,
+    service: ident::ServiceId,
+    candidates: Vec<CandidateDump>,
+}
+
+#[derive(Serialize)]
+struct CandidateDump {
+    node: ident::NodeId,
+    weight: f64,
+}
+
+fn state(state: State) -> (State, Response<Body>) {
+    let shared = shared::Shared::borrow_from(&state);
+    let text = serde_json::to_string_pretty(&dump(shared, &shared.balancer()));
+    match text {
+        Ok(text) => respond(state, (StatusCode::OK, mime::APPLICATION_JSON, text)),
+        Err(_) => fail(state, StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+fn dump<'a>(shared: &shared::Shared, balancer: &'a balancer::Balancer) -> Dump<'a> {
+    let tables = balancer.tables();
+    let timing = tables.timing();
+    Dump {
+        now: shared.now(),
+        ready: shared.is_ready(),
+        balancer: tables.own(),
+        timing: Spans {
+            period: timing.period.0,
+            heartbeat_timeout: timing.heartbeat_timeout.0,
+            line_timeout: timing.line_timeout.0,
+        },
+        vouching: tables.line().vouching,
+        rumours: balancer.pending(),
+        members: tables.members(),
+        balancers: tables.balancers(),
+        tombstones: tables.tombstones().collect(),
+        services: balancer.services(),
+        records: balancer.records(),
+        routes: route_dumps(balancer),
+    }
+}
+
+fn route_dumps(balancer: &balancer::Balancer) -> Vec<RouteDump> {
+    let routes = balancer.routes().as_slice().iter();
+    routes
+        .map(|route| RouteDump {
+            address: route.address,
+            service: route.service,
+            candidates: route
+                .table
+                .candidates()
+                .iter()
+                .map(|candidate| CandidateDump {
+                    node: candidate.hop.node,
+                    weight: candidate.weight,
+                })
+                .collect(),
+        })
+        .collect()
+}
+
+async fn view(state: State) -> HandlerResult {
+    fleet_call(state, |shared, request: exchange::ViewRequest| {
+        shared.balancer().view(&request, shared.now())
+    })
+    .await
+}
+
+async fn sync(state: State) -> HandlerResult {
+    fleet_call(state, |shared, request: exchange::SyncRequest| {
+        shared.balancer().sync(&request, shared.now())
+    })
+    .await
+}
+
+async fn records(state: State) -> HandlerResult {
+    fleet_call(state, |shared, names: Vec<String>| {
+        exchange::select(shared.balancer().services(), &names)
+    })
+    .await
+}
+
+/// Answers a call of a process of the fleet, in `MessagePack`.
+async fn fleet_call<Q: DeserializeOwned, A: Serialize>(
+    mut state: State,
+    answer: impl FnOnce(&shared::Shared, Q) -> A,
+) -> HandlerResult {
+    let shared = shared::Shared::borrow_from(&state).clone();
+    if !is_fleet(HeaderMap::borrow_from(&state), &shared.sealer().bearer()) {
+        return Ok(fail(state, StatusCode::UNAUTHORIZED));
+    }
+    let body = Limited::new(Body::take_from(&mut state), MAX_REQUEST);
+    let Ok(body) = body.collect().await else {
+        return Ok(fail(state, StatusCode::PAYLOAD_TOO_LARGE));
+    };
+    let Ok(request) = rmp_serde::from_slice(&body.to_bytes()) else {
+        return Ok(fail(state, StatusCode::BAD_REQUEST));
+    };
+    let body = exchange::encode(&answer(&shared, request));
+    let answer = (StatusCode::OK, mime::APPLICATION_MSGPACK, body);
+    Ok(respond(state, answer))
+}
+
+fn is_fleet(headers: &HeaderMap, bearer: &str) -> bool {
+    headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix(BEARER))
+        .is_some_and(|value| value == bearer)
+}
+
+fn fail(state: State, status: StatusCode) -> (State, Response<Body>) {
+    let text = status.canonical_reason().unwrap_or_default();
+    respond(state, (status, mime::TEXT_PLAIN, text))
+}
+
+fn respond(state: State, answer: impl IntoResponse) -> (State, Response<Body>) {
+    let response = answer.into_response(&state);
+    (state, response)
+}
--- /dev/null
+++ b/src/bin/cassiacross-balancer/main.rs
@@ -0,0 +1,23 @@
+//! The balancer daemon: forwards callers' packets to agents.
+
+mod app;
+mod cli;
+mod control;
+mod http;
+mod metrics;
+mod packets;
+mod peers;
+mod shared;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match app::run(cli::parse()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cassiacross-balancer: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/cassiacross-balancer/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters of the daemon.
+
+use std::{
+    fmt,
+    sync::{Mutex, PoisonError},
+};
+
+use cassiacross::{balancer, forward};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family},
+    registry::Registry,
+};
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct Reason {
+    reason: &'static str,
+}
+
+/// Counters, and the registry that shows them.
+pub(crate) struct Metrics {
+    /// Packets sent to an agent.
+    pub(crate) forwarded: Counter,
+    /// Packets that could not be sent.
+    pub(crate) unsent: Counter,
+    /// Sealed datagrams taken.
+    pub(crate) datagrams: Counter,
+    /// Bytes of control sent.
+    pub(crate) sent_bytes: Counter,
+    /// Full syncs taken from a peer.
+    pub(crate) syncs: Counter,
+    dropped: Family<Reason, Counter>,
+    rejected: Family<Reason, Counter>,
+    registry: Mutex<Registry>,
+}
+
+impl Metrics {
+    /// Counters at zero.
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("cassiacross_balancer");
+        let counter = |registry: &mut Registry, name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let dropped = Family::default();
+        let rejected = Family::default();
+        registry.register(
+            "dropped_packets",
+            "Packets from the fabric that were dropped",
+            dropped.clone(),
+        );
+        registry.register(
+            "rejected_datagrams",
+            "Sealed datagrams that were dropped",
+            rejected.clone(),
+        );
+        Self {
+            forwarded: counter(&mut registry, "forwarded_packets", "Packets sent to agents"),
+            unsent: counter(
+                &mut registry,
+                "unsent_datagrams",
+                "Datagrams that the host did not take",
+            ),
+            datagrams: counter(&mut registry, "datagrams", "Sealed datagrams taken"),
+            sent_bytes: counter(
+                &mut registry,
+                "sent_control_bytes",
+                "Bytes of heartbeat answers and exchanges sent",
+            ),
+            syncs: counter(&mut registry, "syncs", "Full syncs taken from a peer"),
+            dropped,
+            rejected,
+            registry: Mutex::new(registry),
+        }
+    }
+
+    /// Counts a packet that was dropped.
+    pub(crate) fn dropped(&self, error: forward::Error) {
+        let reason = match error {
+            forward::Error::Gue(_) => "encapsulation",
+            forward::Error::Packet(_) => "packet",
+            forward::Error::Service => "service",
+            forward::Error::Candidates => "candidates",
+        };
+        self.dropped.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// Counts a sealed datagram that was dropped.
+    pub(crate) fn rejected(&self, error: &balancer::Error) {
+        let reason = match error {
+            balancer::Error::Long(_) => "long",
+            balancer::Error::Seal(_) => "seal",
+            balancer::Error::Kind(_) => "kind",
+            balancer::Error::Codec(_) => "codec",
+            balancer::Error::Replayed => "replayed",
+        };
+        self.rejected.get_or_create(&Reason { reason }).inc();
+    }
+
+    /// All counters in the text format of `OpenMetrics`.
+    pub(crate) fn text(&self) -> Result<String, fmt::Error> {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut out = String::new();
+        text::encode(&mut out, &registry)?;
+        Ok(out)
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
--- /dev/null
+++ b/src/bin/cassiacross-balancer/peers.rs
@@ -0,0 +1,150 @@
+//! Calls to other balancers over HTTP.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use anyhow::Context;
+use cassiacross::exchange::{self, Action};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::time;
+
+use crate::shared;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_ANSWER: usize = 16 << 20;
+const JOIN_TRIES: u32 = 5;
+
+/// Calls other balancers with the fleet's bearer text.
+#[derive(Clone, Debug)]
+pub(crate) struct Peers {
+    client: reqwest::Client,
+    bearer: String,
+}
+
+impl Peers {
+    /// A client for the balancers of one fleet.
+    pub(crate) fn new(bearer: String) -> anyhow::Result<Self> {
+        let client = reqwest::Client::builder()
+            .timeout(CALL_TIMEOUT)
+            .no_proxy()
+            .build()
+            .context("HTTP client cannot be made")?;
+        Ok(Self { client, bearer })
+    }
+
+    /// Carries out an action that takes a call, in its own task.
+    pub(crate) fn spawn(&self, shared: &shared::Shared, action: Action) {
+        let (peers, shared) = (self.clone(), shared.clone());
+        tokio::spawn(async move {
+            if let Err(error) = peers.carry_out(&shared, action).await {
+                log::warn!(error:? = error; "call to a balancer failed");
+            }
+        });
+    }
+
+    /// Takes everything from a seed; without one that answers, stands alone
+    /// after [`JOIN_TRIES`] and goes on trying while no peer is known.
+    pub(crate) async fn join(
+        &self,
+        shared: &shared::Shared,
+        seeds: &[SocketAddrV4],
+        period: Duration,
+    ) {
+        for tries in 1.. {
+            if has_peer(shared) && shared.is_joined() {
+                return;
+            }
+            if self.join_once(shared, seeds).await || seeds.is_empty() || tries >= JOIN_TRIES {
+                let now = shared.now();
+                shared.balancer().stand_alone(now);
+                shared.set_joined();
+            }
+            if seeds.is_empty() {
+                return;
+            }
+            time::sleep(period).await;
+        }
+    }
+
+    async fn join_once(&self, shared: &shared::Shared, seeds: &[SocketAddrV4]) -> bool {
+        for seed in seeds {
+            match self.sync(shared, *seed).await {
+                Ok(()) => {
+                    log::info!(seed:% = seed; "took the tables of a seed");
+                    return true;
+                }
+                Err(error) => log::info!(seed:% = seed, error:? = error; "seed does not answer"),
+            }
+        }
+        false
+    }
+
+    async fn carry_out(&self, shared: &shared::Shared, action: Action) -> anyhow::Result<()> {
+        match action {
+            Action::Sync { from } => self.sync(shared, from).await,
+            Action::PullRecords { from, names } => self.pull(shared, from, &names).await,
+            Action::Send { .. } => Ok(()),
+        }
+    }
+
+    async fn sync(&self, shared: &shared::Shared, from: SocketAddrV4) -> anyhow::Result<()> {
+        let request = exchange::sync_request(shared.balancer().tables());
+        let sync = self.call(from, "fleet/sync", &request).await?;
+        shared.metrics().syncs.inc();
+        let now = shared.now();
+        let actions = shared.balancer().absorb(&sync, from, now);
+        for action in actions {
+            if let Action::PullRecords { from, names } = action {
+                self.pull(shared, from, &names).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Pulls services by name and puts the newer ones in force.
+    async fn pull(
+        &self,
+        shared: &shared::Shared,
+        from: SocketAddrV4,
+        names: &[String],
+    ) -> anyhow::Result<()> {
+        let pulled: Vec<exchange::Versioned> = self.call(from, "fleet/records", &names).await?;
+        let mut balancer = shared.balancer();
+        let services = exchange::adopt(balancer.services(), pulled);
+        let records = exchange::hints(&services);
+        balancer.configure(services, records);
+        Ok(())
+    }
+
+    async fn call<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        to: SocketAddrV4,
+        path: &str,
+        request: &Q,
+    ) -> anyhow::Result<A> {
+        let mut response = self
+            .client
+            .post(format!("http://{to}/{path}"))
+            .bearer_auth(&self.bearer)
+            .body(exchange::encode(request))
+            .send()
+            .await?
+            .error_for_status()?;
+        let mut body = Vec::new();
+        while let Some(chunk) = response.chunk().await? {
+            anyhow::ensure!(body.len() + chunk.len() <= MAX_ANSWER, "answer is too long");
+            body.extend_from_slice(&chunk);
+        }
+        rmp_serde::from_slice(&body).context("answer cannot be read")
+    }
+}
+
+fn has_peer(shared: &shared::Shared) -> bool {
+    let now = shared.now();
+    let balancer = shared.balancer();
+    let tables = balancer.tables();
+    let me = tables.own().node;
+    tables
+        .balancers()
+        .iter()
+        .any(|row| row.balancer.node != me && row.is_live(tables.timing(), now))
+}
--- /dev/null
+++ b/src/bin/cassiacross-balancer/shared.rs
@@ -0,0 +1,114 @@
+//! What the threads and tasks of the daemon share.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError, RwLock,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use cassiacross::{balancer, clock, forward, seal};
+
+use crate::metrics;
+
+/// A handle on the daemon's state.
+#[derive(Clone, Debug)]
+pub(crate) struct Shared(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    balancer: Mutex<balancer::Balancer>,
+    routes: RwLock<Arc<forward::Routes>>,
+    generation: AtomicU64,
+    joined: AtomicBool,
+    leaving: AtomicBool,
+    clock: clock::Clock,
+    sealer: seal::Sealer,
+    metrics: metrics::Metrics,
+}
+
+impl Shared {
+    /// Shares a balancer that starts now.
+    pub(crate) fn new(
+        balancer: balancer::Balancer,
+        clock: clock::Clock,
+        sealer: seal::Sealer,
+    ) -> Self {
+        Self(Arc::new(Inner {
+            balancer: Mutex::new(balancer),
+            routes: RwLock::default(),
+            generation: AtomicU64::new(0),
+            joined: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            clock,
+            sealer,
+            metrics: metrics::Metrics::new(),
+        }))
+    }
+
+    /// The tables, locked.
+    pub(crate) fn balancer(&self) -> MutexGuard<'_, balancer::Balancer> {
+        self.0
+            .balancer
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The time.
+    pub(crate) fn now(&self) -> clock::Millis {
+        self.0.clock.now()
+    }
+
+    /// The fleet's sealer.
+    pub(crate) fn sealer(&self) -> &seal::Sealer {
+        &self.0.sealer
+    }
+
+    /// The daemon's counters.
+    pub(crate) fn metrics(&self) -> &metrics::Metrics {
+        &self.0.metrics
+    }
+
+    /// Lets the packet thread see new routes.
+    pub(crate) fn publish(&self, routes: &Arc<forward::Routes>) {
+        let mut current = self
+            .0
+            .routes
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if !Arc::ptr_eq(&current, routes) {
+            *current = Arc::clone(routes);
+            self.0.generation.fetch_add(1, Ordering::Release);
+        }
+    }
+
+    /// Grows with each [`Shared::publish`] of other routes.
+    pub(crate) fn generation(&self) -> u64 {
+        self.0.generation.load(Ordering::Acquire)
+    }
+
+    /// The routes as published.
+    pub(crate) fn routes(&self) -> Arc<forward::Routes> {
+        let routes = self.0.routes.read();
+        Arc::clone(&routes.unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Whether the fabric may send packets.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.is_joined() && !self.0.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Whether the first full sync is over.
+    pub(crate) fn is_joined(&self) -> bool {
+        self.0.joined.load(Ordering::Relaxed)
+    }
+
+    /// States that the first full sync is over.
+    pub(crate) fn set_joined(&self) {
+        self.0.joined.store(true, Ordering::Relaxed);
+    }
+
+    /// Starts the stop: not ready any more, and peers are told.
+    pub(crate) fn leave(&self) {
+        self.0.leaving.store(true, Ordering::Relaxed);
+        self.balancer().leave();
+    }
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -113,7 +113,7 @@
 pub struct Sync {
     /// All balancers.
     pub balancers: Vec<member::Balancer>,
-    /// The last lines of all balancers.
+    /// The lines that made progress lately.
     pub lines: Vec<membership::Line>,
     /// Agents of the parts that differ.
     pub members: Vec<member::Member>,
@@ -148,10 +148,10 @@
 }
 
 /// A service in force, with the version of its record.
-#[derive(Clone, Copy, Debug)]
-pub struct Versioned<'a> {
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Versioned {
     /// The record.
-    pub service: &'a record::Service,
+    pub service: record::Service,
     /// The record's version.
     pub version: u64,
 }
@@ -249,7 +249,7 @@
         &mut self,
         tables: &mut membership::Tables,
         beat: &Heartbeat,
-        services: &[Versioned<'_>],
+        services: &[Versioned],
         now: clock::Millis,
     ) -> Option<Ack> {
         let node = beat.member.node;
@@ -289,6 +289,16 @@
         actions
     }
 
+    /// Takes the entry of a balancer that asks for a sync.
+    pub fn welcome(
+        &mut self,
+        tables: &mut membership::Tables,
+        from: &member::Balancer,
+        now: clock::Millis,
+    ) {
+        self.merge(tables, std::slice::from_ref(from), &[], now);
+    }
+
     /// Takes a peer's answer to a sync, from its HTTP address.
     pub fn absorb(
         &mut self,
@@ -303,8 +313,12 @@
             tables.merge_tombstone(stone, now);
         }
         self.merge_members(tables, &sync.members, now);
+        let joining = !tables.is_synced();
         for line in &sync.lines {
             tables.merge_line(line, now);
+            if joining {
+                tables.trust_line(line.balancer, now);
+            }
         }
         tables.synced(now);
         pull(&sync.hints, records, from)
@@ -546,7 +560,12 @@
 
 /// Answers a request for what differs.
 #[must_use]
-pub fn sync(tables: &membership::Tables, request: &SyncRequest, records: &[Hint]) -> Sync {
+pub fn sync(
+    tables: &membership::Tables,
+    request: &SyncRequest,
+    records: &[Hint],
+    now: clock::Millis,
+) -> Sync {
     let parts = tables.member_digests();
     let differs = |node| {
         let part = membership::part(node);
@@ -557,6 +576,7 @@
         balancers: balancers.iter().map(|row| row.balancer.clone()).collect(),
         lines: balancers
             .iter()
+            .filter(|row| row.is_fresh(tables.timing(), now))
             .filter_map(|row| row.line.clone())
             .collect(),
         members: tables
@@ -579,7 +599,7 @@
 pub fn view(
     tables: &membership::Tables,
     request: &ViewRequest,
-    services: &[Versioned<'_>],
+    services: &[Versioned],
     now: clock::Millis,
 ) -> View {
     let found = match request {
@@ -635,18 +655,18 @@
         .map(|at| &records[at])
 }
 
-fn find_service<'a, 'b>(services: &'b [Versioned<'a>], name: &str) -> Option<&'b Versioned<'a>> {
+fn find_service<'a>(services: &'a [Versioned], name: &str) -> Option<&'a Versioned> {
     services
         .binary_search_by(|versioned| versioned.service.name.as_str().cmp(name))
         .ok()
         .map(|at| &services[at])
 }
 
-fn version_of(services: &[Versioned<'_>], name: &str) -> u64 {
+fn version_of(services: &[Versioned], name: &str) -> u64 {
     find_service(services, name).map_or(0, |found| found.version)
 }
 
-fn highest(services: &[Versioned<'_>]) -> u64 {
+fn highest(services: &[Versioned]) -> u64 {
     services
         .iter()
         .map(|versioned| versioned.version)
@@ -657,3 +677,40 @@
 fn hash(hint: &Hint) -> u64 {
     xxh3::xxh3_64_with_seed(hint.name.as_bytes(), hint.version)
 }
+
+/// The services after pulled ones have replaced those of a lower version, sorted by name.
+#[must_use]
+pub fn adopt(services: &[Versioned], pulled: Vec<Versioned>) -> Vec<Versioned> {
+    let mut all = services.to_vec();
+    for one in pulled {
+        let name = &one.service.name;
+        match all.binary_search_by(|other| other.service.name.cmp(name)) {
+            Ok(at) if all[at].version < one.version => all[at] = one,
+            Ok(_) => {}
+            Err(at) => all.insert(at, one),
+        }
+    }
+    all
+}
+
+/// The services of these names.
+#[must_use]
+pub fn select(services: &[Versioned], names: &[String]) -> Vec<Versioned> {
+    names
+        .iter()
+        .filter_map(|name| find_service(services, name))
+        .cloned()
+        .collect()
+}
+
+/// Names and versions of the services' records, sorted as `services` are.
+#[must_use]
+pub fn hints(services: &[Versioned]) -> Vec<Hint> {
+    services
+        .iter()
+        .map(|versioned| Hint {
+            name: versioned.service.name.clone(),
+            version: versioned.version,
+        })
+        .collect()
+}
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -94,8 +94,9 @@
 
     fn route(&self, service: &record::Service, candidates: &[table::Candidate]) -> Route {
         let id = ident::ServiceId::of(&service.name);
-        let old = self.routes.iter().find(|route| route.service == id);
-        let table = old
+        let table = self
+            .find(service.address)
+            .filter(|route| route.service == id)
             .filter(|route| route.table.candidates() == candidates)
             .map_or_else(
                 || Arc::new(table::Table::build(id, candidates)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! daemons under `src/bin` read sockets, call the library and carry its
 //! actions out.
 
+pub mod balancer;
 pub mod clock;
 pub mod exchange;
 pub mod forward;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -210,6 +210,7 @@
     ticked: clock::Millis,
     spoke: clock::Millis,
     line: Line,
+    revision: u64,
 }
 
 impl Tables {
@@ -238,6 +239,7 @@
             ticked: now,
             spoke: now,
             line,
+            revision: 0,
         }
     }
 
@@ -287,6 +289,12 @@
         &self.line
     }
 
+    /// Grows whenever the agents in force may have changed.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The tombstones, sorted by node.
     pub fn tombstones(&self) -> impl Iterator<Item = Tombstone> {
         self.graves.iter().map(|grave| grave.stone)
@@ -320,7 +328,7 @@
         if !is_sound(member) || self.is_buried(member) {
             return Merge::Refused;
         }
-        match self.find_member(member.node) {
+        let merge = match self.find_member(member.node) {
             Ok(at) => replace(&mut self.members[at], member, now),
             Err(_) if self.members.len() >= MAX_ENTRIES => Merge::Refused,
             Err(at) => {
@@ -328,7 +336,9 @@
                 self.exhume(member.node);
                 Merge::Taken
             }
-        }
+        };
+        self.revision += u64::from(merge == Merge::Taken);
+        merge
     }
 
     /// Takes an agent's own heartbeat: its entry, and the proof that it is alive.
@@ -405,6 +415,15 @@
         Merge::Taken
     }
 
+    /// Counts a balancer's line although it has not followed another one here.
+    ///
+    /// For a process that joins: its peer has seen the progress.
+    pub fn trust_line(&mut self, node: ident::NodeId, now: clock::Millis) {
+        if let Ok(at) = self.find_balancer(node) {
+            self.balancers[at].progress.get_or_insert(now);
+        }
+    }
+
     /// Takes a peer's tombstone; an agent that is taken for alive here stays.
     pub fn merge_tombstone(&mut self, stone: &Tombstone, now: clock::Millis) -> Merge {
         let version = (stone.incarnation, stone.change);
@@ -415,6 +434,7 @@
             }
             let watched = row.member.watchers.contains(&self.me);
             self.members.remove(at);
+            self.revision += 1;
             return self.bury(*stone, watched, now);
         }
         self.bury(*stone, false, now)
@@ -446,9 +466,11 @@
     pub fn tick(&mut self, now: clock::Millis) -> bool {
         self.notice_pause(now);
         let spoken = self.speak(now);
+        let before = self.fingerprint();
         self.judge(now);
         self.hold(now);
         self.forget(now);
+        self.revision += u64::from(self.fingerprint() != before);
         spoken
     }
 
@@ -484,6 +506,13 @@
         })
     }
 
+    fn fingerprint(&self) -> u64 {
+        self.members
+            .iter()
+            .filter(|row| row.in_force())
+            .fold(0, |print, row| print ^ hash_member(&row.member))
+    }
+
     /// A process that did not run for a while has missed heartbeats through
     /// its own fault, so it waits as after a start.
     fn notice_pause(&mut self, now: clock::Millis) {
