--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod announce;
 pub mod attempt;
 pub mod backoff;
+pub mod balancer;
 pub mod budget;
 pub mod change;
 pub mod clock;
