--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -208,13 +208,13 @@
     /// Starts an agent and its upstream under a new name.
     pub async fn add_upstream(&mut self, name: &str, plan: &host::Plan) -> Result<(), Error> {
         let (agent, addr) = self.start_agent(name, &plan.domain).await?;
-        let (process, http) = self.start_upstream(name, plan, addr.local).await?;
+        let (process, upstream) = self.start_upstream(name, plan, addr.local).await?;
         self.upstreams.push(host::Upstream {
             name: name.to_owned(),
             agent,
             addr,
             process,
-            http,
+            upstream,
             plan: plan.clone(),
         });
         Ok(())
@@ -301,7 +301,10 @@
             lost: self.lost.clone(),
         };
         for upstream in &self.upstreams {
-            let runs = self.client.ledger(&upstream.name, upstream.http).await?;
+            let runs = self
+                .client
+                .ledger(&upstream.name, upstream.upstream.control)
+                .await?;
             ledger.executions.extend(runs);
         }
         ledger.lost.sort();
@@ -431,7 +434,7 @@
         name: &str,
         plan: &host::Plan,
         local: SocketAddr,
-    ) -> Result<(Process, SocketAddr), Error> {
+    ) -> Result<(Process, host::UpstreamAddr), Error> {
         let args = [
             "upstream",
             "--name",
@@ -448,8 +451,8 @@
             &plan.speed.to_string(),
         ];
         let process = start_standin(self.dir(), &self.options, name, &args).await?;
-        let http = http(&process)?;
-        Ok((process, http))
+        let addr = host::UpstreamAddr::deserialize(process.addresses())?;
+        Ok((process, addr))
     }
 
     async fn start_daemon(
@@ -529,7 +532,7 @@
     async fn save_ledger(&mut self, index: usize) {
         let upstream = &self.upstreams[index];
         let name = upstream.name.clone();
-        if let Ok(runs) = self.client.ledger(&name, upstream.http).await {
+        if let Ok(runs) = self.client.ledger(&name, upstream.upstream.control).await {
             self.saved.retain(|run| run.upstream != name);
             self.saved.extend(runs);
         }
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -28,6 +28,15 @@
     pub local: SocketAddr,
 }
 
+/// Addresses of an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+pub struct UpstreamAddr {
+    /// Where requests arrive.
+    pub http: SocketAddr,
+    /// Where ledger and faults are.
+    pub control: SocketAddr,
+}
+
 /// A balancer of a fleet.
 #[derive(Debug)]
 pub struct Balancer {
@@ -54,8 +63,8 @@
     pub addr: AgentAddr,
     /// The upstream's process.
     pub process: Process,
-    /// Where the upstream takes HTTP calls.
-    pub http: SocketAddr,
+    /// Addresses of the upstream.
+    pub upstream: UpstreamAddr,
     /// What the host is like.
     pub plan: Plan,
 }
