--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,555 @@
+//! The administration API that a balancer serves under `/v1`.
+//!
+//! Each call carries the operator token. A call that writes names its change
+//! in the header `cassiacross-change` (see [`change::name_of`]), so that it may
+//! be repeated through any balancer and still takes effect at most once.
+//!
+//! | call | effect |
+//! |---|---|
+//! | `GET /records` | standing of each record in this process |
+//! | `GET /records/NAME` | the stored record and its version |
+//! | `PUT`, `DELETE /records/NAME` | with `If-Match: N`, `If-None-Match: *` or `?force=true` |
+//! | `POST /check?name=NAME` | faults of a record, nothing is written |
+//! | `GET /changes/ID` | whether a change has taken effect |
+//! | `GET /upstreams/NAME` | the record that an upstream belongs to |
+//! | `POST /upstreams/NAME/drain`, `undrain` | weight 0, or the weight before it |
+//! | `GET /status` | versions in force here and what is known of others |
+
+use std::{fmt, panic::AssertUnwindSafe, pin::Pin, sync::Arc};
+
+use futures_util::{FutureExt, future};
+use gotham::{
+    handler::{HandlerFuture, HandlerResult},
+    helpers::http::{Body, response},
+    hyper::{HeaderMap, Response, StatusCode, Uri, body::Bytes, header},
+    middleware::{Middleware, NewMiddleware},
+    mime, pipeline,
+    router::{
+        Router,
+        builder::{DefineSingleRoute, DrawRoutes, build_router},
+        response::StaticResponseExtender,
+    },
+    state::{FromState, State, StateData},
+};
+use http_body_util::{BodyExt, Limited};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use crate::{backoff, change, config, drain, platform, record};
+
+/// Header that names the change.
+pub const CHANGE: &str = "cassiacross-change";
+
+const MAX_BODY_LEN: usize = 4 * record::MAX_LEN;
+
+/// What a process knows of another one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Peer {
+    /// The process's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// The digest of its records as it last told, if it did.
+    pub digest: Option<u64>,
+}
+
+/// The configuration as one process has it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Status {
+    /// The process's name.
+    pub name: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Digest of its records.
+    pub digest: u64,
+    /// Standing of each record, sorted by name.
+    pub records: Vec<config::Standing>,
+    /// What it knows of other processes.
+    pub peers: Vec<Peer>,
+}
+
+/// Finds a service's name by an upstream's.
+pub type Lookup = Box<dyn Fn(&str) -> Option<String> + Send + Sync>;
+
+/// What the balancer gives to the API.
+pub struct Parts {
+    /// The balancer's name.
+    pub name: String,
+    /// The balancer's failure domain.
+    pub domain: String,
+    /// Secret that each call carries.
+    pub token: String,
+    /// The platform that holds the records.
+    pub client: platform::Client,
+    /// The records as they are now.
+    pub table: Box<dyn Fn() -> Arc<config::Table> + Send + Sync>,
+    /// Takes in a record that the platform has confirmed.
+    pub apply: Box<dyn Fn(&platform::Object) + Send + Sync>,
+    /// What is known of other processes.
+    pub peers: Box<dyn Fn() -> Vec<Peer> + Send + Sync>,
+    /// The service that an announced upstream serves.
+    pub service_of: Lookup,
+}
+
+/// The API's shared state; clones share it.
+#[derive(Clone)]
+pub struct Admin {
+    parts: Arc<AssertUnwindSafe<Parts>>,
+}
+
+#[derive(Deserialize)]
+struct NamePath {
+    name: String,
+}
+
+struct Reply {
+    status: StatusCode,
+    body: Value,
+}
+
+struct Call {
+    admin: Admin,
+    name: String,
+    headers: HeaderMap,
+    force: bool,
+}
+
+/// The routes, to be mounted by `route.delegate("/v1").to_router(..)`.
+#[must_use]
+pub fn router(admin: Admin) -> Router {
+    let (chain, pipelines) = pipeline::single_pipeline(pipeline::single_middleware(admin));
+    build_router(chain, pipelines, |route| {
+        route.get("/records").to_async(list);
+        route.get("/status").to_async(status);
+        route.post("/check").to_async(check);
+        route
+            .get("/records/:name")
+            .with_path_extractor::<NamePath>()
+            .to_async(get);
+        route
+            .put("/records/:name")
+            .with_path_extractor::<NamePath>()
+            .to_async(put);
+        route
+            .delete("/records/:name")
+            .with_path_extractor::<NamePath>()
+            .to_async(delete);
+        route
+            .get("/changes/:name")
+            .with_path_extractor::<NamePath>()
+            .to_async(ask);
+        route
+            .get("/upstreams/:name")
+            .with_path_extractor::<NamePath>()
+            .to_async(upstream);
+        route
+            .post("/upstreams/:name/drain")
+            .with_path_extractor::<NamePath>()
+            .to_async(drain_upstream);
+        route
+            .post("/upstreams/:name/undrain")
+            .with_path_extractor::<NamePath>()
+            .to_async(undrain_upstream);
+    })
+}
+
+impl Admin {
+    /// Shares what the balancer gives.
+    #[must_use]
+    pub fn new(parts: Parts) -> Self {
+        Self {
+            parts: Arc::new(AssertUnwindSafe(parts)),
+        }
+    }
+
+    /// The configuration as this process has it.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let table = (self.parts.table)();
+        Status {
+            name: self.parts.name.clone(),
+            domain: self.parts.domain.clone(),
+            digest: table.digest(),
+            records: table.standings().collect(),
+            peers: (self.parts.peers)(),
+        }
+    }
+
+    fn is_operator(&self, headers: &HeaderMap) -> bool {
+        let header = headers.get(header::AUTHORIZATION);
+        let text = header.and_then(|value| value.to_str().ok());
+        let token = text.and_then(|text| text.strip_prefix("Bearer "));
+        token.is_some_and(|token| {
+            blake3::hash(token.as_bytes()) == blake3::hash(self.parts.token.as_bytes())
+        })
+    }
+
+    async fn read(&self, name: &str) -> Reply {
+        match self.parts.client.get(platform::RECORDS, name).await {
+            Ok(Some(object)) => {
+                let document = change::record(&object.value);
+                found(name, object.version, document, "platform")
+            }
+            Ok(None) => failure(StatusCode::NOT_FOUND, "there is no such record"),
+            Err(_) => self.read_table(name),
+        }
+    }
+
+    fn read_table(&self, name: &str) -> Reply {
+        match (self.parts.table)().latest(name) {
+            Some(seen) => found(name, seen.version, &seen.document, "memory"),
+            None => failure(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the platform is not available and the record is not known here",
+            ),
+        }
+    }
+
+    async fn change(
+        &self,
+        request: &change::Request<'_>,
+        edit: impl Fn(Option<&Value>) -> Result<Value, Reply>,
+    ) -> Reply {
+        let backoff = backoff::Backoff::new(rand::random(), change::BUDGET);
+        match change::commit(&self.parts.client, request, edit, backoff).await {
+            Ok(outcome) => {
+                self.take_in(request.name, outcome).await;
+                outcome_reply(request.id, outcome)
+            }
+            Err(change::Error::Edit(reply)) => reply,
+            Err(error @ change::Error::Unavailable(_)) => {
+                failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string())
+            }
+        }
+    }
+
+    async fn take_in(&self, name: &str, outcome: change::Outcome) {
+        if !matches!(outcome, change::Outcome::Accepted(_)) {
+            return;
+        }
+        let object = self.parts.client.get(platform::RECORDS, name).await;
+        if let Ok(Some(object)) = object {
+            let name = name.to_owned();
+            (self.parts.apply)(&platform::Object { name, ..object });
+        }
+    }
+
+    fn record_of(&self, upstream: &str) -> Option<String> {
+        let table = (self.parts.table)();
+        let announced = (self.parts.service_of)(upstream);
+        announced.or_else(|| {
+            let mut documents = table.documents();
+            let found = documents.find(|seen| drain::names_upstream(&seen.document, upstream));
+            found.map(|seen| seen.name.clone())
+        })
+    }
+}
+
+impl Call {
+    fn take(state: &mut State) -> Self {
+        let query = Uri::borrow_from(state).query().unwrap_or_default();
+        Self {
+            force: query.split('&').any(|pair| pair == "force=true"),
+            admin: Admin::borrow_from(state).clone(),
+            name: NamePath::take_from(state).name,
+            headers: HeaderMap::take_from(state),
+        }
+    }
+
+    fn id(&self) -> Result<&str, Reply> {
+        let id = self
+            .headers
+            .get(CHANGE)
+            .and_then(|value| value.to_str().ok());
+        id.filter(|id| change::name_of(id).is_some())
+            .ok_or_else(|| {
+                let what = format!("header {CHANGE} must be RECORD~ID");
+                failure(StatusCode::BAD_REQUEST, &what)
+            })
+    }
+
+    fn request(&self) -> Result<change::Request<'_>, Reply> {
+        let id = self.id()?;
+        if change::name_of(id) != Some(&self.name) {
+            let what = "the change id names another record";
+            return Err(failure(StatusCode::BAD_REQUEST, what));
+        }
+        Ok(change::Request {
+            name: &self.name,
+            id,
+            expect: self.expect()?,
+        })
+    }
+
+    fn expect(&self) -> Result<change::Expect, Reply> {
+        if self.force {
+            return Ok(change::Expect::Any);
+        }
+        let text = |name| self.headers.get(name).and_then(|value| value.to_str().ok());
+        if text(header::IF_NONE_MATCH) == Some("*") {
+            return Ok(change::Expect::Absent);
+        }
+        let version = text(header::IF_MATCH).and_then(|text| text.trim_matches('"').parse().ok());
+        version.map(change::Expect::Version).ok_or_else(|| {
+            failure(
+                StatusCode::PRECONDITION_REQUIRED,
+                "give If-Match with a version, If-None-Match: *, or force=true",
+            )
+        })
+    }
+
+    async fn put(&self, body: Result<Value, Reply>) -> Result<Reply, Reply> {
+        let document = body?;
+        let request = self.request()?;
+        match record::parse(&self.name, &document) {
+            Ok(record::Document::Service(_)) => {}
+            Ok(record::Document::Deleted) => {
+                return Err(failure(StatusCode::UNPROCESSABLE_ENTITY, "use DELETE"));
+            }
+            Err(error) => return Err(faults(&error)),
+        }
+        Ok(self.admin.change(&request, |_| Ok(document.clone())).await)
+    }
+
+    async fn delete(&self) -> Result<Reply, Reply> {
+        let request = self.request()?;
+        let edit = |before: Option<&Value>| match before {
+            Some(before) if !record::is_deleted(before) => Ok(record::deletion()),
+            _ => Err(failure(StatusCode::NOT_FOUND, "there is no such record")),
+        };
+        Ok(self.admin.change(&request, edit).await)
+    }
+
+    async fn weigh(&self, weigh: fn(&mut Value, &str)) -> Result<Reply, Reply> {
+        let id = self.id()?;
+        if !record::is_name(&self.name) {
+            return Err(failure(StatusCode::BAD_REQUEST, "not an upstream's name"));
+        }
+        let request = change::Request {
+            name: change::name_of(id).unwrap_or_default(),
+            id,
+            expect: change::Expect::Any,
+        };
+        let edit = |before: Option<&Value>| {
+            let before = before.filter(|before| !record::is_deleted(before));
+            let mut document = before
+                .cloned()
+                .ok_or_else(|| failure(StatusCode::NOT_FOUND, "there is no such record"))?;
+            weigh(&mut document, &self.name);
+            record::parse(request.name, &document).map_err(|error| faults(&error))?;
+            Ok(document)
+        };
+        Ok(self.admin.change(&request, edit).await)
+    }
+}
+
+impl StateData for Admin {}
+
+impl StateData for NamePath {}
+
+impl StaticResponseExtender for NamePath {
+    type ResBody = Body;
+
+    fn extend(_state: &mut State, _res: &mut Response<Body>) {}
+}
+
+impl NewMiddleware for Admin {
+    type Instance = Self;
+
+    fn new_middleware(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Middleware for Admin {
+    fn call<Chain>(self, mut state: State, chain: Chain) -> Pin<Box<HandlerFuture>>
+    where
+        Chain: FnOnce(State) -> Pin<Box<HandlerFuture>>,
+    {
+        if self.is_operator(HeaderMap::borrow_from(&state)) {
+            state.put(self);
+            return chain(state);
+        }
+        let reply = failure(
+            StatusCode::UNAUTHORIZED,
+            "the operator token is missing or wrong",
+        );
+        future::ok(reply.send(state)).boxed()
+    }
+}
+
+impl Reply {
+    fn send(self, state: State) -> (State, Response<Body>) {
+        let body = self.body.to_string();
+        let response = response::create_response(&state, self.status, mime::APPLICATION_JSON, body);
+        (state, response)
+    }
+}
+
+impl fmt::Debug for Admin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Admin({})", self.parts.name)
+    }
+}
+
+impl fmt::Debug for Parts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Parts({})", self.name)
+    }
+}
+
+impl fmt::Debug for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.status, self.body)
+    }
+}
+
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+impl std::error::Error for Reply {}
+
+async fn list(state: State) -> HandlerResult {
+    let status = Admin::borrow_from(&state).status();
+    Ok(ok(&json!(status.records)).send(state))
+}
+
+async fn status(state: State) -> HandlerResult {
+    let status = Admin::borrow_from(&state).status();
+    Ok(ok(&json!(status)).send(state))
+}
+
+async fn check(mut state: State) -> HandlerResult {
+    let query = Uri::borrow_from(&state).query().unwrap_or_default();
+    let name = query.strip_prefix("name=").unwrap_or_default().to_owned();
+    let reply = match body(&mut state).await {
+        Ok(document) => match record::parse(&name, &document) {
+            Ok(_) => ok(&json!({ "name": name, "faults": [] })),
+            Err(error) => faults(&error),
+        },
+        Err(reply) => reply,
+    };
+    Ok(reply.send(state))
+}
+
+async fn get(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let reply = if record::is_name(&call.name) {
+        call.admin.read(&call.name).await
+    } else {
+        failure(StatusCode::BAD_REQUEST, "not a record's name")
+    };
+    Ok(reply.send(state))
+}
+
+async fn put(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let body = body(&mut state).await;
+    let reply = call.put(body).await.unwrap_or_else(|reply| reply);
+    Ok(reply.send(state))
+}
+
+async fn delete(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let reply = call.delete().await.unwrap_or_else(|reply| reply);
+    Ok(reply.send(state))
+}
+
+async fn drain_upstream(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let reply = call.weigh(drain::drain).await;
+    Ok(reply.unwrap_or_else(|reply| reply).send(state))
+}
+
+async fn undrain_upstream(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let reply = call.weigh(drain::undrain).await;
+    Ok(reply.unwrap_or_else(|reply| reply).send(state))
+}
+
+async fn upstream(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let reply = match call.admin.record_of(&call.name) {
+        Some(record) => ok(&json!({ "upstream": call.name, "record": record })),
+        None => failure(StatusCode::NOT_FOUND, "no record names this upstream"),
+    };
+    Ok(reply.send(state))
+}
+
+async fn ask(mut state: State) -> HandlerResult {
+    let call = Call::take(&mut state);
+    let id = &call.name;
+    let reply = match change::name_of(id) {
+        Some(name) => match change::ask(&call.admin.parts.client, name, id).await {
+            Ok(outcome) => outcome_reply(id, outcome),
+            Err(error) => failure(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
+        },
+        None => failure(StatusCode::BAD_REQUEST, "a change id is RECORD~ID"),
+    };
+    Ok(reply.send(state))
+}
+
+async fn body(state: &mut State) -> Result<Value, Reply> {
+    let body = Limited::new(Body::take_from(state), MAX_BODY_LEN);
+    let bytes: Bytes = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Err(failure(StatusCode::PAYLOAD_TOO_LARGE, &error.to_string())),
+    };
+    serde_json::from_slice(&bytes).map_err(|error| {
+        let what = format!("the body is not JSON: {error}");
+        failure(StatusCode::BAD_REQUEST, &what)
+    })
+}
+
+fn found(name: &str, version: u64, document: &Value, source: &str) -> Reply {
+    if record::is_deleted(document) {
+        return failure(StatusCode::NOT_FOUND, "the record has been deleted");
+    }
+    ok(&json!({ "name": name, "version": version, "record": document, "source": source }))
+}
+
+fn outcome_reply(id: &str, outcome: change::Outcome) -> Reply {
+    let (status, body) = match outcome {
+        change::Outcome::Accepted(version) => (
+            StatusCode::OK,
+            json!({ "outcome": "accepted", "version": version, "change": id }),
+        ),
+        change::Outcome::Conflict(version) => (
+            StatusCode::PRECONDITION_FAILED,
+            json!({ "outcome": "conflict", "version": version, "change": id }),
+        ),
+        change::Outcome::Undecided => (
+            StatusCode::GATEWAY_TIMEOUT,
+            json!({ "outcome": "undecided", "change": id }),
+        ),
+    };
+    Reply { status, body }
+}
+
+fn faults(error: &record::Error) -> Reply {
+    let faults: Vec<_> = match error {
+        record::Error::Faults(faults) => faults.iter().map(ToString::to_string).collect(),
+        other => vec![other.to_string()],
+    };
+    Reply {
+        status: StatusCode::UNPROCESSABLE_ENTITY,
+        body: json!({ "error": "the record has faults", "faults": faults }),
+    }
+}
+
+fn ok(body: &Value) -> Reply {
+    Reply {
+        status: StatusCode::OK,
+        body: body.clone(),
+    }
+}
+
+fn failure(status: StatusCode, what: &str) -> Reply {
+    Reply {
+        status,
+        body: json!({ "error": what }),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! daemons under `src/bin` read sockets, call the library and carry its
 //! actions out.
 
+pub mod admin;
 pub mod backoff;
 pub mod change;
 pub mod clock;
