--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -198,7 +198,10 @@
         }
         self.routed = Some(revision);
         let index = Index::new(&self.tables);
-        let services = self.services.iter().map(|versioned| &versioned.service);
+        let services = self
+            .services
+            .iter()
+            .filter_map(|versioned| versioned.service.as_ref());
         let routes = self
             .routes
             .rebuild(services, |service| index.candidates(service));
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -13,7 +13,9 @@
 };
 
 use anyhow::Context;
-use cassiacross::{balancer, clock, exchange, ident, member, membership, seal, settings};
+use cassiacross::{
+    admin, balancer, clock, exchange, ident, member, membership, platform, seal, settings,
+};
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -21,7 +23,7 @@
     time,
 };
 
-use crate::{cli, control, http, packets, peers, shared};
+use crate::{cli, configuration, control, http, packets, peers, shared};
 
 /// Shortest time of forwarding after `/ready` has turned to 503.
 const MIN_DRAIN: Duration = Duration::from_secs(1);
@@ -99,13 +101,25 @@
         peers.clone(),
         period / rounds,
     ));
-    tokio::spawn(serve_http(http, shared.clone()));
-    let joining = shared.clone();
-    tokio::spawn(async move { peers.join(&joining, &seeds, period).await });
+    let client = platform::Client::new(&settings.platform)?;
+    let admin = configuration::admin(&shared, settings, client.clone());
+    tokio::spawn(serve_http(http, shared.clone(), admin));
+    let me = shared.balancer().tables().own().clone();
+    let (joining, registry) = (shared.clone(), client.clone());
+    tokio::spawn(async move {
+        peers.join(&joining, &seeds, &registry, period).await;
+        configuration::register(registry, me, period).await;
+    });
+    tokio::spawn(configuration::follow(
+        shared.clone(),
+        client.clone(),
+        period,
+    ));
     println!("{}", serde_json::to_string(&bound)?);
     log::info!(name = common.name; "balancer runs");
 
     terminate.recv().await;
+    configuration::unregister(&client, &common.name).await;
     drain(&shared, period).await;
     stop.store(true, Ordering::Relaxed);
     forwarder
@@ -164,8 +178,8 @@
         .context("the packet thread cannot be started")
 }
 
-async fn serve_http(listener: TcpListener, shared: shared::Shared) {
-    let router = http::router(shared);
+async fn serve_http(listener: TcpListener, shared: shared::Shared, admin: admin::Admin) {
+    let router = http::router(shared, admin);
     gotham::bind_server(listener, router, |stream| std::future::ready(Ok(stream))).await;
 }
 
--- /dev/null
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -0,0 +1,165 @@
+//! Records from the platform, the administration API's view of them, and the
+//! platform's objects through which balancers find each other.
+
+use std::{net::SocketAddrV4, sync::Arc, time::Duration};
+
+use cassiacross::{admin, change, config, member, platform, settings, watch};
+use serde_json::json;
+use tokio::time;
+
+use crate::shared;
+
+/// How long a watch may hold before the balancer asks itself whether it still should.
+const TURN: Duration = Duration::from_secs(6);
+
+/// Follows the platform's records for as long as this balancer is a watcher.
+pub(crate) async fn follow(shared: shared::Shared, client: platform::Client, period: Duration) {
+    let mut watch = watch::Watch::new(client, platform::RECORDS, watch::RELIST, rand::random());
+    loop {
+        if !is_watcher(&shared) {
+            time::sleep(period).await;
+            continue;
+        }
+        if let Ok(objects) = time::timeout(TURN, watch.next()).await {
+            let documents: Vec<_> = objects.iter().map(document).collect();
+            shared.apply(&documents);
+        }
+        if watch.has_listed() {
+            shared.set_listed();
+        }
+    }
+}
+
+fn is_watcher(shared: &shared::Shared) -> bool {
+    let now = shared.now();
+    let balancer = shared.balancer();
+    let tables = balancer.tables();
+    let mut live: Vec<_> = tables.live(now).cloned().collect();
+    let me = tables.own();
+    if !live.iter().any(|other| other.node == me.node) {
+        live.push(me.clone());
+    }
+    watch::is_watcher(&live, me.node)
+}
+
+fn document(object: &platform::Object) -> config::Versioned {
+    config::Versioned {
+        name: object.name.clone(),
+        version: object.version,
+        document: change::record(&object.value).clone(),
+    }
+}
+
+/// The administration API over this balancer's state.
+pub(crate) fn admin(
+    shared: &shared::Shared,
+    settings: &settings::Balancer,
+    client: platform::Client,
+) -> admin::Admin {
+    let common = &settings.common;
+    let (table, apply, peers, members) = (
+        shared.clone(),
+        shared.clone(),
+        shared.clone(),
+        shared.clone(),
+    );
+    admin::Admin::new(admin::Parts {
+        name: common.name.clone(),
+        domain: common.domain.clone(),
+        token: common.operator_token.clone(),
+        client,
+        table: Box::new(move || Arc::new(table.records().clone())),
+        apply: Box::new(move |object| apply.apply(&[document(object)])),
+        peers: Box::new(move || known_peers(&peers)),
+        service_of: Box::new(move |upstream| service_of(&members, upstream)),
+    })
+}
+
+fn known_peers(shared: &shared::Shared) -> Vec<admin::Peer> {
+    let now = shared.now();
+    let balancer = shared.balancer();
+    let tables = balancer.tables();
+    let me = tables.own().node;
+    let others = tables.live(now).filter(|other| other.node != me);
+    others
+        .map(|other| admin::Peer {
+            name: other.name.clone(),
+            domain: other.domain.clone(),
+            digest: None,
+        })
+        .collect()
+}
+
+fn service_of(shared: &shared::Shared, upstream: &str) -> Option<String> {
+    let balancer = shared.balancer();
+    let rows = balancer.tables().members().iter();
+    let mut members = rows.map(|row| &row.member);
+    members
+        .find(|member| member.name == upstream)
+        .map(|member| member.service.clone())
+}
+
+/// Addresses of balancers that the platform knows of; empty while it is down.
+pub(crate) async fn seeds(client: &platform::Client) -> Vec<SocketAddrV4> {
+    let Ok(listing) = client.list(platform::BALANCERS).await else {
+        return Vec::new();
+    };
+    let addresses = listing
+        .items
+        .iter()
+        .filter_map(|object| object.value.get("http"));
+    addresses
+        .filter_map(|address| address.as_str()?.parse().ok())
+        .collect()
+}
+
+/// Keeps this balancer's object in the platform, trying again while it is down.
+pub(crate) async fn register(client: platform::Client, me: member::Balancer, period: Duration) {
+    while let Err(error) = put(&client, &me).await {
+        log::warn!(error:% = error; "this balancer cannot be registered with the platform");
+        time::sleep(period).await;
+    }
+}
+
+async fn put(client: &platform::Client, me: &member::Balancer) -> Result<(), platform::Error> {
+    let old = client.get(platform::BALANCERS, &me.name).await?;
+    let guard = platform::Object::guard(old.as_ref());
+    let value = json!({ "http": me.http.to_string(), "domain": me.domain });
+    client
+        .put(platform::BALANCERS, &me.name, guard, &value)
+        .await?;
+    Ok(())
+}
+
+/// Removes this balancer's object; a failure leaves one address that does not answer.
+pub(crate) async fn unregister(client: &platform::Client, name: &str) {
+    if let Ok(Some(object)) = client.get(platform::BALANCERS, name).await
+        && let Err(error) = client
+            .delete(platform::BALANCERS, name, object.version)
+            .await
+    {
+        log::warn!(error:% = error; "this balancer stays registered with the platform");
+    }
+}
+
+/// What `/ready` waits for, if anything.
+pub(crate) fn waits_for(shared: &shared::Shared) -> Option<&'static str> {
+    if !shared.is_joined() {
+        return Some("a peer or the end of the tries for one");
+    }
+    if !shared.is_configured() {
+        return Some("records: the platform does not answer and no peer has any");
+    }
+    shared
+        .is_leaving()
+        .then_some("nothing: this balancer is leaving")
+}
+
+/// The records as fleet calls give them.
+pub(crate) fn select(shared: &shared::Shared, names: &[String]) -> Vec<config::Versioned> {
+    let records = shared.records();
+    let wanted = records
+        .documents()
+        .filter(|document| names.contains(&document.name));
+    wanted.cloned().collect()
+}
--- a/src/bin/cassiacross-balancer/http.rs
+++ b/src/bin/cassiacross-balancer/http.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddrV4, panic::RefUnwindSafe};
 
-use cassiacross::{balancer, exchange, ident, member, membership};
+use cassiacross::{admin, balancer, exchange, ident, member, membership};
 use gotham::{
     handler::HandlerResult,
     helpers::http::Body,
@@ -17,7 +17,7 @@
 use http_body_util::{BodyExt, Limited};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::shared;
+use crate::{configuration, shared};
 
 const MAX_REQUEST: usize = 64 << 10;
 const BEARER: &str = "Bearer ";
@@ -28,10 +28,11 @@
 impl RefUnwindSafe for shared::Shared {}
 
 /// The routes of the daemon.
-pub(crate) fn router(shared: shared::Shared) -> Router {
+pub(crate) fn router(shared: shared::Shared, admin: admin::Admin) -> Router {
     let middleware = StateMiddleware::new(shared);
     let (chain, pipelines) = single_pipeline(new_pipeline().add(middleware).build());
     build_router(chain, pipelines, |route| {
+        route.delegate("/v1").to_router(admin::router(admin));
         route.get("/ready").to(ready);
         route.get("/state").to(state);
         route.get("/metrics").to(metrics);
@@ -42,17 +43,16 @@
 }
 
 fn ready(state: State) -> (State, Response<Body>) {
-    let ready = shared::Shared::borrow_from(&state).is_ready();
-    let answer = if ready {
-        (StatusCode::OK, mime::TEXT_PLAIN, "ready\n")
-    } else {
-        (
-            StatusCode::SERVICE_UNAVAILABLE,
-            mime::TEXT_PLAIN,
-            "not ready\n",
-        )
-    };
-    respond(state, answer)
+    match configuration::waits_for(shared::Shared::borrow_from(&state)) {
+        None => respond(state, (StatusCode::OK, mime::TEXT_PLAIN, "ready\n")),
+        Some(what) => {
+            let text = format!("waits for {what}\n");
+            respond(
+                state,
+                (StatusCode::SERVICE_UNAVAILABLE, mime::TEXT_PLAIN, text),
+            )
+        }
+    }
 }
 
 fn metrics(state: State) -> (State, Response<Body>) {
@@ -166,7 +166,7 @@
 
 async fn records(state: State) -> HandlerResult {
     fleet_call(state, |shared, names: Vec<String>| {
-        exchange::select(shared.balancer().services(), &names)
+        configuration::select(shared, &names)
     })
     .await
 }
--- a/src/bin/cassiacross-balancer/main.rs
+++ b/src/bin/cassiacross-balancer/main.rs
@@ -2,6 +2,7 @@
 
 mod app;
 mod cli;
+mod configuration;
 mod control;
 mod http;
 mod metrics;
@@ -11,6 +12,9 @@
 
 use std::process::ExitCode;
 
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 fn main() -> ExitCode {
     env_logger::init();
     match app::run(cli::parse()) {
--- a/src/bin/cassiacross-balancer/peers.rs
+++ b/src/bin/cassiacross-balancer/peers.rs
@@ -3,15 +3,21 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use anyhow::Context;
-use cassiacross::exchange::{self, Action};
+use cassiacross::{
+    config,
+    exchange::{self, Action},
+    platform,
+};
+use rand::seq::SliceRandom;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
-use crate::shared;
+use crate::{configuration, shared};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_ANSWER: usize = 16 << 20;
 const JOIN_TRIES: u32 = 5;
+const MAX_SEEDS: usize = 8;
 
 /// Calls other balancers with the fleet's bearer text.
 #[derive(Clone, Debug)]
@@ -41,24 +47,29 @@
         });
     }
 
-    /// Takes everything from a seed; without one that answers, stands alone
-    /// after [`JOIN_TRIES`] and goes on trying while no peer is known.
+    /// Takes everything from a seed or a balancer that the platform knows; without
+    /// one that answers, stands alone after [`JOIN_TRIES`] and goes on trying while
+    /// seeds are given and no peer is known.
     pub(crate) async fn join(
         &self,
         shared: &shared::Shared,
         seeds: &[SocketAddrV4],
+        registry: &platform::Client,
         period: Duration,
     ) {
+        let me = shared.balancer().tables().own().http;
         for tries in 1.. {
-            if has_peer(shared) && shared.is_joined() {
-                return;
-            }
-            if self.join_once(shared, seeds).await || seeds.is_empty() || tries >= JOIN_TRIES {
+            let mut all = configuration::seeds(registry).await;
+            all.extend_from_slice(seeds);
+            all.retain(|seed| *seed != me);
+            all.shuffle(&mut rand::rng());
+            all.truncate(MAX_SEEDS);
+            if self.join_once(shared, &all).await || all.is_empty() || tries >= JOIN_TRIES {
                 let now = shared.now();
                 shared.balancer().stand_alone(now);
                 shared.set_joined();
             }
-            if seeds.is_empty() {
+            if all.is_empty() || has_peer(shared) {
                 return;
             }
             time::sleep(period).await;
@@ -100,18 +111,15 @@
         Ok(())
     }
 
-    /// Pulls services by name and puts the newer ones in force.
+    /// Pulls records by name and puts the newer ones in force.
     async fn pull(
         &self,
         shared: &shared::Shared,
         from: SocketAddrV4,
         names: &[String],
     ) -> anyhow::Result<()> {
-        let pulled: Vec<exchange::Versioned> = self.call(from, "fleet/records", &names).await?;
-        let mut balancer = shared.balancer();
-        let services = exchange::adopt(balancer.services(), pulled);
-        let records = exchange::hints(&services);
-        balancer.configure(services, records);
+        let pulled: Vec<config::Versioned> = self.call(from, "fleet/records", &names).await?;
+        shared.apply(&pulled);
         Ok(())
     }
 
--- a/src/bin/cassiacross-balancer/shared.rs
+++ b/src/bin/cassiacross-balancer/shared.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use cassiacross::{balancer, clock, forward, seal};
+use cassiacross::{balancer, clock, config, exchange, forward, seal};
 
 use crate::metrics;
 
@@ -16,9 +16,11 @@
 #[derive(Debug)]
 struct Inner {
     balancer: Mutex<balancer::Balancer>,
+    records: Mutex<config::Table>,
     routes: RwLock<Arc<forward::Routes>>,
     generation: AtomicU64,
     joined: AtomicBool,
+    listed: AtomicBool,
     leaving: AtomicBool,
     clock: clock::Clock,
     sealer: seal::Sealer,
@@ -34,9 +36,11 @@
     ) -> Self {
         Self(Arc::new(Inner {
             balancer: Mutex::new(balancer),
+            records: Mutex::default(),
             routes: RwLock::default(),
             generation: AtomicU64::new(0),
             joined: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             clock,
             sealer,
@@ -52,6 +56,29 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The records, locked.
+    pub(crate) fn records(&self) -> MutexGuard<'_, config::Table> {
+        self.0
+            .records
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts records in force that are newer than those known.
+    pub(crate) fn apply<'a>(&self, documents: impl IntoIterator<Item = &'a config::Versioned>) {
+        let mut records = self.records();
+        let mut changed = false;
+        for document in documents {
+            let effect = records.apply(&document.name, document.version, &document.document);
+            log_effect(document, effect);
+            changed |= effect != config::Effect::Old;
+        }
+        if changed {
+            let (services, hints) = (exchange::versioned(&records), exchange::hints(&records));
+            self.balancer().configure(services, hints);
+        }
+    }
+
     /// The time.
     pub(crate) fn now(&self) -> clock::Millis {
         self.0.clock.now()
@@ -93,7 +120,22 @@
 
     /// Whether the fabric may send packets.
     pub(crate) fn is_ready(&self) -> bool {
-        self.is_joined() && !self.0.leaving.load(Ordering::Relaxed)
+        self.is_joined() && self.is_configured() && !self.is_leaving()
+    }
+
+    /// Whether records are known, or known to be none.
+    pub(crate) fn is_configured(&self) -> bool {
+        self.0.listed.load(Ordering::Relaxed) || !self.balancer().records().is_empty()
+    }
+
+    /// States that the platform has listed its records.
+    pub(crate) fn set_listed(&self) {
+        self.0.listed.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the stop has started.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.0.leaving.load(Ordering::Relaxed)
     }
 
     /// Whether the first full sync is over.
@@ -112,3 +154,16 @@
         self.balancer().leave();
     }
 }
+
+fn log_effect(document: &config::Versioned, effect: config::Effect) {
+    let (name, version) = (document.name.as_str(), document.version);
+    match effect {
+        config::Effect::InForce => {
+            log::info!(record = name, version = version; "record is in force");
+        }
+        config::Effect::Held => {
+            log::warn!(record = name, version = version; "record cannot be read, the last good one stays");
+        }
+        config::Effect::Old => {}
+    }
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -11,7 +11,9 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{clock, ident, member, membership, record, seal};
+use crate::{clock, config, ident, member, membership, record, seal};
+
+pub use crate::config::Hint;
 
 /// Longest datagram, with its seal.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -62,15 +64,6 @@
     pub refused: Option<u32>,
 }
 
-/// A record and its version, without the record.
-#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct Hint {
-    /// The record's name.
-    pub name: String,
-    /// The record's version.
-    pub version: u64,
-}
-
 /// Digests of one balancer's tables.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Digests {
@@ -147,13 +140,40 @@
     pub digest: u64,
 }
 
-/// A service in force, with the version of its record.
+/// A record in force, with its version.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Versioned {
-    /// The record.
-    pub service: record::Service,
+    /// The record's name.
+    pub name: String,
     /// The record's version.
     pub version: u64,
+    /// The service; `None` where this version deletes it.
+    pub service: Option<record::Service>,
+}
+
+/// The records in force of a table, sorted by name.
+#[must_use]
+pub fn versioned(table: &config::Table) -> Vec<Versioned> {
+    let standings = table.standings().filter(|standing| standing.in_force > 0);
+    standings
+        .map(|standing| Versioned {
+            service: table.service(&standing.name).cloned(),
+            version: standing.in_force,
+            name: standing.name,
+        })
+        .collect()
+}
+
+/// The highest version of each record that a table has seen, sorted by name.
+#[must_use]
+pub fn hints(table: &config::Table) -> Vec<Hint> {
+    table
+        .standings()
+        .map(|standing| Hint {
+            name: standing.name,
+            version: standing.seen,
+        })
+        .collect()
 }
 
 /// What is to be done after a rule has run.
@@ -606,15 +626,15 @@
         ViewRequest::Service(name) => find_service(services, name),
         ViewRequest::Address(address) => services
             .iter()
-            .find(|versioned| versioned.service.address == *address),
+            .find(|versioned| address_of(versioned) == Some(*address)),
     };
     let name = match (request, found) {
         (ViewRequest::Service(name), _) => name.as_str(),
-        (ViewRequest::Address(_), found) => found.map_or("", |found| &found.service.name),
+        (ViewRequest::Address(_), found) => found.map_or("", |found| &found.name),
     };
     let version = found.map_or(0, |found| found.version);
     View {
-        service: found.map(|found| found.service.clone()),
+        service: found.and_then(|found| found.service.clone()),
         version,
         members: tables.in_force(name).cloned().collect(),
         balancers: tables.live(now).cloned().collect(),
@@ -657,7 +677,7 @@
 
 fn find_service<'a>(services: &'a [Versioned], name: &str) -> Option<&'a Versioned> {
     services
-        .binary_search_by(|versioned| versioned.service.name.as_str().cmp(name))
+        .binary_search_by(|versioned| versioned.name.as_str().cmp(name))
         .ok()
         .map(|at| &services[at])
 }
@@ -678,39 +698,6 @@
     xxh3::xxh3_64_with_seed(hint.name.as_bytes(), hint.version)
 }
 
-/// The services after pulled ones have replaced those of a lower version, sorted by name.
-#[must_use]
-pub fn adopt(services: &[Versioned], pulled: Vec<Versioned>) -> Vec<Versioned> {
-    let mut all = services.to_vec();
-    for one in pulled {
-        let name = &one.service.name;
-        match all.binary_search_by(|other| other.service.name.cmp(name)) {
-            Ok(at) if all[at].version < one.version => all[at] = one,
-            Ok(_) => {}
-            Err(at) => all.insert(at, one),
-        }
-    }
-    all
-}
-
-/// The services of these names.
-#[must_use]
-pub fn select(services: &[Versioned], names: &[String]) -> Vec<Versioned> {
-    names
-        .iter()
-        .filter_map(|name| find_service(services, name))
-        .cloned()
-        .collect()
-}
-
-/// Names and versions of the services' records, sorted as `services` are.
-#[must_use]
-pub fn hints(services: &[Versioned]) -> Vec<Hint> {
-    services
-        .iter()
-        .map(|versioned| Hint {
-            name: versioned.service.name.clone(),
-            version: versioned.version,
-        })
-        .collect()
+fn address_of(versioned: &Versioned) -> Option<SocketAddrV4> {
+    versioned.service.as_ref().map(|service| service.address)
 }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -41,6 +41,7 @@
     relist: clock::Millis,
     listed: clock::Millis,
     after: Option<u64>,
+    complete: bool,
     backoff: backoff::Backoff,
 }
 
@@ -60,10 +61,17 @@
             relist,
             listed: clock::Millis(0),
             after: None,
+            complete: false,
             backoff: backoff::Backoff::new(seed, u32::MAX),
         }
     }
 
+    /// Whether all objects have been listed at least once.
+    #[must_use]
+    pub const fn has_listed(&self) -> bool {
+        self.complete
+    }
+
     /// Waits for the next changed objects; older versions may come after newer ones.
     ///
     /// Failures are logged and retried; all objects are listed after one. May
@@ -98,6 +106,7 @@
 
     fn take(&mut self, listing: platform::Listing) -> Vec<platform::Object> {
         self.after = Some(listing.revision);
+        self.complete = true;
         self.backoff.reset(u32::MAX);
         listing.items
     }
