--- a/src/queue.rs
+++ b/src/queue.rs
@@ -33,7 +33,7 @@
 const CLASS_GAIN: f64 = 0.1;
 
 /// Weight of a new sample in the estimate behind the capacity.
-const CAPACITY_GAIN: f64 = 0.03;
+const CAPACITY_GAIN: f64 = 0.01;
 
 /// Deviations from the mean that a service time may be longer (as in RFC 6298).
 const DEVIATIONS: f64 = 4.0;
@@ -51,7 +51,7 @@
 const MIN_SAMPLES: u32 = 16;
 
 /// How far the capacity moves before its step follows, in steps.
-const STEP_SLACK: f64 = 0.8;
+const STEP_SLACK: f64 = 1.1;
 
 /// The shortest time between two changes of the step.
 const STEP_DWELL: clock::Millis = clock::Millis(5_000);
@@ -449,16 +449,25 @@
         lane.credit = (lane.credit - service).max(0.0);
     }
 
+    /// The shorter of two waits: behind all higher classes, or by the guaranteed share.
     fn expected_wait(&self, lane: usize, deadline: clock::Millis) -> f64 {
+        let slots = count(self.limits.slots);
         let higher: f64 = (0..lane)
             .map(|other| count(self.lanes[other].waiting.len()) * self.mean_service(other))
             .sum();
         let own = count(self.place(lane, deadline)) * self.mean_service(lane);
-        let residual = self.mean_running();
-        (higher + own + residual) / (count(self.limits.slots) * self.portion(lane))
+        let strict = (higher + own) / (slots * self.portion(lane));
+        let shared = (own + self.mean_service(lane)) / (slots * SHARES[lane]);
+        let is_shared = self.policy.shares && SHARES[lane] > 0.0;
+        let turn = if is_shared {
+            strict.min(shared)
+        } else {
+            strict
+        };
+        self.mean_running() / slots + turn
     }
 
-    /// The part of the slots that a class and those above it can count on.
+    /// The part of the slots that the classes above and below leave to a class.
     fn portion(&self, lane: usize) -> f64 {
         let whole = count(self.limits.slots) * USE_SPAN_MS;
         let higher: f64 = self.lanes[..lane].iter().map(|l| l.used / whole).sum();
@@ -466,12 +475,7 @@
             .filter(|other| self.policy.shares && !self.lanes[*other].waiting.is_empty())
             .map(|other| SHARES[other])
             .sum();
-        let least = if self.policy.shares {
-            SHARES[lane]
-        } else {
-            0.0
-        };
-        ((1.0 - higher).max(least) * (1.0 - lower)).max(MIN_PORTION)
+        ((1.0 - higher) * (1.0 - lower)).max(MIN_PORTION)
     }
 
     fn mean_running(&self) -> f64 {
