--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -13,7 +13,7 @@
 };
 
 use anyhow::Context;
-use cassiacross::{balancer, clock, exchange, ident, member, membership, seal, settings};
+use cassiacross::{balancer, clock, exchange, ident, member, membership, settings};
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -131,8 +131,7 @@
     let clock = clock::Clock::new();
     let timing = membership::Timing::new(common.period);
     let balancer = balancer::Balancer::new(me, timing, rand::random(), clock.now());
-    let sealer = seal::Sealer::new(&common.fleet_key);
-    Ok(shared::Shared::new(balancer, clock, sealer))
+    Ok(shared::Shared::new(balancer, clock, settings.clone()))
 }
 
 fn seeds(settings: &settings::Balancer, bound: &Bound<'_>) -> Vec<SocketAddrV4> {
--- a/src/bin/cassiacross-balancer/http.rs
+++ b/src/bin/cassiacross-balancer/http.rs
@@ -67,8 +67,8 @@
 struct Dump<'a> {
     now: cassiacross::clock::Millis,
     ready: bool,
+    settings: Settings<'a>,
     balancer: &'a member::Balancer,
-    timing: Spans,
     vouching: bool,
     rumours: usize,
     members: &'a [membership::MemberRow],
@@ -79,11 +79,14 @@
     routes: Vec<RouteDump>,
 }
 
+/// The settings without secrets.
 #[derive(Serialize)]
-struct Spans {
-    period: u64,
-    heartbeat_timeout: u64,
-    line_timeout: u64,
+struct Settings<'a> {
+    name: &'a str,
+    domain: &'a str,
+    seeds: &'a [SocketAddrV4],
+    platform: &'a str,
+    period: cassiacross::clock::Millis,
 }
 
 #[derive(Serialize)]
@@ -108,18 +111,20 @@
     }
 }
 
-fn dump<'a>(shared: &shared::Shared, balancer: &'a balancer::Balancer) -> Dump<'a> {
+fn dump<'a>(shared: &'a shared::Shared, balancer: &'a balancer::Balancer) -> Dump<'a> {
     let tables = balancer.tables();
-    let timing = tables.timing();
+    let settings = shared.settings();
     Dump {
         now: shared.now(),
         ready: shared.is_ready(),
-        balancer: tables.own(),
-        timing: Spans {
-            period: timing.period.0,
-            heartbeat_timeout: timing.heartbeat_timeout.0,
-            line_timeout: timing.line_timeout.0,
+        settings: Settings {
+            name: &settings.common.name,
+            domain: &settings.common.domain,
+            seeds: &settings.common.seeds,
+            platform: &settings.platform,
+            period: settings.common.period,
         },
+        balancer: tables.own(),
         vouching: tables.line().vouching,
         rumours: balancer.pending(),
         members: tables.members(),
--- a/src/bin/cassiacross-balancer/shared.rs
+++ b/src/bin/cassiacross-balancer/shared.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use cassiacross::{balancer, clock, forward, seal};
+use cassiacross::{balancer, clock, forward, seal, settings};
 
 use crate::metrics;
 
@@ -21,6 +21,7 @@
     joined: AtomicBool,
     leaving: AtomicBool,
     clock: clock::Clock,
+    settings: settings::Balancer,
     sealer: seal::Sealer,
     metrics: metrics::Metrics,
 }
@@ -30,7 +31,7 @@
     pub(crate) fn new(
         balancer: balancer::Balancer,
         clock: clock::Clock,
-        sealer: seal::Sealer,
+        settings: settings::Balancer,
     ) -> Self {
         Self(Arc::new(Inner {
             balancer: Mutex::new(balancer),
@@ -39,7 +40,8 @@
             joined: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             clock,
-            sealer,
+            sealer: seal::Sealer::new(&settings.common.fleet_key),
+            settings,
             metrics: metrics::Metrics::new(),
         }))
     }
@@ -57,6 +59,11 @@
         self.0.clock.now()
     }
 
+    /// The daemon's settings.
+    pub(crate) fn settings(&self) -> &settings::Balancer {
+        &self.0.settings
+    }
+
     /// The fleet's sealer.
     pub(crate) fn sealer(&self) -> &seal::Sealer {
         &self.0.sealer
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -525,6 +525,7 @@
     fn speak(&mut self, now: clock::Millis) -> bool {
         let except = self.missing(now);
         let vouching = except.len() <= MAX_EXCEPT
+            && !self.is_cut_off(now)
             && self
                 .synced
                 .is_some_and(|at| now.since(at) > self.timing.heartbeat_timeout);
@@ -550,6 +551,24 @@
         true
     }
 
+    /// Whether neither a watched agent nor a peer is heard, so that the fault
+    /// is rather on this side.
+    fn is_cut_off(&self, now: clock::Millis) -> bool {
+        let span = self.timing.line_period + self.timing.period;
+        let mut peers = self
+            .balancers
+            .iter()
+            .filter(|row| row.balancer.node != self.me)
+            .peekable();
+        let has_peers = peers.peek().is_some();
+        let hears_peer = peers.any(|row| row.progress.is_some_and(|at| now.since(at) <= span));
+        let hears_agent = self
+            .members
+            .iter()
+            .any(|row| row.is_heard(&self.timing, now));
+        has_peers && !hears_peer && !hears_agent
+    }
+
     fn missing(&self, now: clock::Millis) -> Vec<ident::NodeId> {
         let quiet = self
             .members
--- /dev/null
+++ b/tests/forward.rs
@@ -0,0 +1,169 @@
+//! From the fabric's datagram to the agent's.
+
+mod common;
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+use cassiacross::{forward, gue, header, ident, member, packet, record, seal, table};
+use common::{addr, opening, service};
+use yare::parameterized;
+
+const KEY: &str = "0123456789abcdef";
+const FABRIC: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 9), 4_000);
+
+fn members(states: &[member::State]) -> Vec<member::Member> {
+    let mut members: Vec<_> = states
+        .iter()
+        .zip(1..)
+        .map(|(state, port)| member::Member {
+            state: *state,
+            packets: addr(port),
+            ..common::member(&format!("agent-{port}"), &[])
+        })
+        .collect();
+    members.sort_by_key(|member| member.node);
+    members
+}
+
+fn routes(services: &[record::Service], members: &[member::Member]) -> forward::Routes {
+    forward::Routes::default().rebuild(services, |service| {
+        let serving = members
+            .iter()
+            .filter(|member| member.service == service.name);
+        forward::candidates(service, serving)
+    })
+}
+
+#[test]
+fn packet_reaches_the_first_candidate_with_the_rest() {
+    let ledger = service("ledger", 80, 1).service;
+    let sheets = service("sheets", 81, 1).service;
+    let to = ledger.address;
+    let routes = routes(&[ledger, sheets], &members(&[member::State::Ready; 5]));
+    let sealer = seal::Sealer::new(KEY);
+    let mut scratch = forward::Scratch::new();
+    for caller in 1_000..1_200 {
+        let bytes = opening(caller, to);
+        let mut datagram = Vec::new();
+        gue::encode(&bytes, &mut datagram);
+        let seed = sealer.seed();
+        let (agent, out) =
+            forward::forward(&routes, &sealer, seed, FABRIC, &datagram, &mut scratch)
+                .expect("the packet is forwarded");
+        let (kind, body) = sealer.open(out).expect("the datagram is sealed");
+        let (header, inner) = header::decode(body).expect("the header is whole");
+        assert_eq!(kind, seal::Kind::Packet);
+        assert_eq!(inner, bytes);
+        assert_eq!(header.service, ident::ServiceId::of("ledger"));
+        assert_eq!((header.target.addr, header.fabric), (agent, FABRIC));
+        let view = packet::parse(&bytes).expect("the packet is whole");
+        let route = routes.find(to).expect("the service has a route");
+        let expected: Vec<_> = route.table.chain(view.flow.hash(seed)).copied().collect();
+        let mut chain = vec![header.target];
+        chain.extend(&header.chain);
+        assert_eq!(chain, expected);
+        assert_eq!(chain.len(), table::CHAIN_LEN);
+    }
+}
+
+fn encapsulated(bytes: &[u8]) -> Vec<u8> {
+    let mut datagram = Vec::new();
+    gue::encode(bytes, &mut datagram);
+    datagram
+}
+
+fn fragmented() -> Vec<u8> {
+    let mut bytes = opening(1, service("ledger", 80, 1).service.address);
+    bytes[6] |= 0x20;
+    bytes
+}
+
+#[parameterized(
+    empty = { Vec::new(), forward::Error::Gue(gue::Error::Short) },
+    variant_1 = { vec![0x40, 4, 0, 0, 9], forward::Error::Gue(gue::Error::Variant) },
+    options_past_the_end = { vec![0x1f, 4, 0, 0, 9], forward::Error::Gue(gue::Error::Short) },
+    ipv6 = { vec![0, 41, 0, 0, 9], forward::Error::Gue(gue::Error::Protocol(41)) },
+    no_packet = { encapsulated(&[]), forward::Error::Packet(packet::Error::Ip) },
+    noise = { encapsulated(&[0xff; 60]), forward::Error::Packet(packet::Error::Ip) },
+    fragment = { encapsulated(&fragmented()), forward::Error::Packet(packet::Error::Fragment) },
+    cut_short = { encapsulated(&opening(1, addr(1))[..30]), forward::Error::Packet(packet::Error::Ip) },
+    unknown_address = { encapsulated(&opening(1, addr(1))), forward::Error::Service },
+    no_agent = { encapsulated(&opening(1, service("sheets", 81, 1).service.address)), forward::Error::Candidates },
+)]
+fn drops(datagram: Vec<u8>, expected: forward::Error) {
+    let services = [
+        service("ledger", 80, 1).service,
+        service("sheets", 81, 1).service,
+    ];
+    let routes = routes(&services, &members(&[member::State::Ready]));
+    let sealer = seal::Sealer::new(KEY);
+    let mut scratch = forward::Scratch::new();
+    let result = forward::forward(&routes, &sealer, 1, FABRIC, &datagram, &mut scratch);
+    assert_eq!(result.expect_err("the datagram is dropped"), expected);
+}
+
+#[parameterized(
+    ready = { member::State::Ready, 1.0, 4, Some(2.0) },
+    weighted = { member::State::Ready, 0.5, 8, Some(2.0) },
+    without_weight = { member::State::Ready, 0.0, 4, None },
+    starting = { member::State::Starting, 1.0, 4, None },
+    draining = { member::State::Draining, 1.0, 4, None },
+)]
+fn effective_weight(state: member::State, weight: f64, step: u8, expected: Option<f64>) {
+    let mut service = service("ledger", 80, 1).service;
+    service.weights = vec![record::Weight {
+        name: "agent-1".to_owned(),
+        weight,
+    }];
+    let mut member = members(&[state]).remove(0);
+    member.step = step;
+    let candidates = forward::candidates(&service, [&member]);
+    let weights: Vec<_> = candidates.iter().map(|one| one.weight).collect();
+    assert_eq!(weights, Vec::from_iter(expected));
+}
+
+#[test]
+fn rebuild_keeps_tables_that_did_not_change() {
+    let services = [
+        service("ledger", 80, 1).service,
+        service("sheets", 81, 1).service,
+    ];
+    let ledger = members(&[member::State::Ready; 3]);
+    let mut all = ledger.clone();
+    all.extend(ledger.iter().map(|member| member::Member {
+        service: "sheets".to_owned(),
+        ..member.clone()
+    }));
+    let before = routes(&services, &all);
+    let pick = |dropped: bool| {
+        let all = all.clone();
+        move |service: &record::Service| {
+            let skip = usize::from(dropped && service.name == "sheets");
+            let serving = all.iter().filter(|one| one.service == service.name);
+            forward::candidates(service, serving.skip(skip))
+        }
+    };
+    assert!(before.rebuild(&services, pick(false)).is_same(&before));
+    let after = before.rebuild(&services, pick(true));
+    let same: Vec<_> = before
+        .as_slice()
+        .iter()
+        .zip(after.as_slice())
+        .map(|(old, new)| Arc::ptr_eq(&old.table, &new.table))
+        .collect();
+    assert_eq!(same, [true, false]);
+}
+
+#[test]
+fn address_that_moved_belongs_to_the_new_service_only() {
+    let ledger = service("ledger", 80, 1).service;
+    let sheets = service("sheets", 80, 2).service;
+    let before = routes(&[ledger.clone()], &members(&[member::State::Ready]));
+    let after = before.rebuild([&sheets], |_| Vec::new());
+    let route = after.find(ledger.address).expect("the address has a route");
+    assert_eq!(route.service, ident::ServiceId::of("sheets"));
+    assert_eq!(route.table.chain(1).count(), 0);
+}
--- /dev/null
+++ b/tests/membership.rs
@@ -0,0 +1,347 @@
+//! Tables of agents and balancers.
+
+mod common;
+
+use cassiacross::{
+    clock, ident, member,
+    membership::{self, Liveness, Merge},
+};
+use common::{at, balancer, line, node, tables};
+use yare::parameterized;
+
+/// Tables of balancer 0 that know balancers 1 and 2 by lines that make progress.
+fn trio() -> membership::Tables {
+    let mut tables = tables(0);
+    for index in [1, 2] {
+        tables.merge_balancer(&balancer(index), at(0));
+        tables.merge_line(&line(index, 1, &[]), at(0));
+        tables.merge_line(&line(index, 2, &[]), at(0));
+    }
+    tables
+}
+
+fn watched_by(name: &str, indexes: &[u16]) -> member::Member {
+    let watchers: Vec<_> = indexes.iter().map(|index| balancer(*index).node).collect();
+    common::member(name, &watchers)
+}
+
+fn liveness(tables: &membership::Tables, name: &str) -> Liveness {
+    tables.member(node(name)).expect("agent is known").liveness
+}
+
+fn names(tables: &membership::Tables) -> Vec<&str> {
+    let mut names: Vec<_> = tables
+        .in_force(common::SERVICE)
+        .map(|member| member.name.as_str())
+        .collect();
+    names.sort_unstable();
+    names
+}
+
+#[parameterized(
+    same = { 5, 1, member::State::Ready, Merge::Old },
+    later_change = { 5, 2, member::State::Ready, Merge::Taken },
+    older_incarnation = { 4, 9, member::State::Ready, Merge::Old },
+    later_incarnation = { 6, 0, member::State::Starting, Merge::Taken },
+    draining = { 5, 2, member::State::Draining, Merge::Taken },
+)]
+fn replacement(incarnation: u64, change: u32, state: member::State, expected: Merge) {
+    let mut tables = trio();
+    let mut member = watched_by("a", &[1]);
+    tables.merge_member(&member, at(0));
+    member.incarnation = ident::Incarnation(incarnation);
+    member.change = change;
+    member.state = state;
+    assert_eq!(tables.merge_member(&member, at(0)), expected);
+}
+
+#[parameterized(
+    same_incarnation = { 5, Merge::Old, member::State::Draining },
+    next_incarnation = { 6, Merge::Taken, member::State::Ready },
+)]
+fn ready_after_draining(incarnation: u64, expected: Merge, state: member::State) {
+    let mut tables = trio();
+    let mut member = watched_by("a", &[1]);
+    member.state = member::State::Draining;
+    tables.merge_member(&member, at(0));
+    member.state = member::State::Ready;
+    member.change = 9;
+    member.incarnation = ident::Incarnation(incarnation);
+    assert_eq!(tables.merge_member(&member, at(0)), expected);
+    assert_eq!(tables.members()[0].member.state, state);
+}
+
+#[parameterized(
+    all_vouch = { &[], &[], Liveness::Alive },
+    one_vouches = { &["a"], &[], Liveness::Alive },
+    none_vouches = { &["a"], &["a"], Liveness::Dead },
+)]
+fn liveness_by_lines(first: &[&str], second: &[&str], expected: Liveness) {
+    let mut tables = trio();
+    tables.merge_member(&watched_by("a", &[1, 2]), at(0));
+    tables.merge_line(&line(1, 3, first), at(1));
+    tables.merge_line(&line(2, 3, second), at(1));
+    tables.tick(at(1));
+    assert_eq!(liveness(&tables, "a"), expected);
+}
+
+#[parameterized(
+    unknown_watcher = { 9, true },
+    not_vouching = { 1, false },
+)]
+fn unknown_is_kept(watcher: u16, vouching: bool) {
+    let mut tables = trio();
+    tables.merge_member(&watched_by("a", &[watcher]), at(0));
+    let mut spoken = line(1, 3, &[]);
+    spoken.vouching = vouching;
+    tables.merge_line(&spoken, at(1));
+    tables.tick(at(1));
+    assert_eq!(liveness(&tables, "a"), Liveness::Unknown);
+    assert_eq!(names(&tables), ["a"]);
+}
+
+#[test]
+fn paused_balancer_old_line_does_not_count() {
+    let mut tables = trio();
+    tables.merge_member(&watched_by("a", &[1, 2]), at(0));
+    tables.tick(at(0));
+    assert_eq!(liveness(&tables, "a"), Liveness::Alive);
+    let later = tables.timing().line_timeout + at(1);
+    assert_eq!(tables.merge_line(&line(1, 2, &[]), later), Merge::Old);
+    tables.merge_line(&line(2, 3, &["a"]), later);
+    tables.tick(later);
+    assert_eq!(liveness(&tables, "a"), Liveness::Dead);
+}
+
+#[test]
+fn first_sight_of_a_line_does_not_count() {
+    let mut tables = tables(0);
+    tables.merge_balancer(&balancer(1), at(0));
+    tables.merge_member(&watched_by("a", &[1]), at(0));
+    tables.merge_line(&line(1, 7, &["a"]), at(0));
+    tables.tick(at(0));
+    assert_eq!(liveness(&tables, "a"), Liveness::Unknown);
+    tables.merge_line(&line(1, 8, &["a"]), at(1));
+    tables.tick(at(1));
+    assert_eq!(liveness(&tables, "a"), Liveness::Dead);
+}
+
+#[parameterized(
+    of_unknown_balancer = { line(9, 1, &[]) },
+    of_older_run = { membership::Line { incarnation: ident::Incarnation(0), ..line(1, 9, &[]) } },
+)]
+fn line_refused(line: membership::Line) {
+    assert_eq!(trio().merge_line(&line, at(1)), Merge::Refused);
+}
+
+#[test]
+fn restarted_balancer_does_not_vouch_blindly() {
+    let mut tables = tables(0);
+    tables.merge_member(&watched_by("a", &[0]), at(0));
+    tables.merge_member(&watched_by("b", &[0]), at(0));
+    let timeout = tables.timing().heartbeat_timeout;
+    for step in 0..10 {
+        tables.tick(at(step));
+        assert!(!tables.line().vouching, "no sync yet");
+    }
+    tables.synced(at(10));
+    let mut now = at(10);
+    while now.since(at(10)) <= timeout {
+        tables.tick(now);
+        assert!(!tables.line().vouching, "heartbeats had no time yet");
+        tables.beat(&watched_by("b", &[0]), now.0, now);
+        now = now + at(1);
+    }
+    tables.tick(now);
+    assert!(tables.line().vouching);
+    assert_eq!(tables.line().except, [node("a")]);
+    assert_eq!(liveness(&tables, "b"), Liveness::Alive);
+}
+
+#[test]
+fn own_pause_ends_vouching_for_a_while() {
+    let mut tables = tables(0);
+    tables.synced(at(0));
+    for step in 0..6 {
+        tables.beat(&watched_by("a", &[0]), step + 1, at(step));
+        tables.tick(at(step));
+    }
+    assert!(tables.line().vouching);
+    tables.tick(at(60));
+    assert!(
+        !tables.line().vouching,
+        "its own pause made it miss heartbeats"
+    );
+    assert_eq!(liveness(&tables, "a"), Liveness::Alive);
+}
+
+#[parameterized(
+    next = { 2, true },
+    again = { 1, false },
+    earlier = { 0, false },
+)]
+fn heartbeat_sequence(seq: u64, taken: bool) {
+    let mut tables = tables(0);
+    let member = watched_by("a", &[0]);
+    tables.beat(&member, 1, at(0));
+    assert_eq!(tables.beat(&member, seq, at(1)).is_some(), taken);
+}
+
+#[test]
+fn heartbeat_of_older_run_is_refused() {
+    let mut tables = tables(0);
+    let mut member = watched_by("a", &[0]);
+    tables.beat(&member, 1, at(0));
+    member.incarnation = ident::Incarnation(4);
+    assert_eq!(tables.beat(&member, 99, at(1)), None);
+    assert_eq!(tables.members()[0].beat.map(|beat| beat.seq), Some(1));
+}
+
+#[parameterized(
+    one_of_four = { &["a"], &["b", "c", "d"] },
+    half = { &["a", "b"], &["c", "d"] },
+    more_than_half = { &["a", "b", "c"], &["a", "b", "c", "d"] },
+    all = { &["a", "b", "c", "d"], &["a", "b", "c", "d"] },
+)]
+fn going_quiet(quiet: &[&str], expected: &[&str]) {
+    let mut tables = trio();
+    for name in ["a", "b", "c", "d"] {
+        tables.merge_member(&watched_by(name, &[1]), at(0));
+    }
+    tables.tick(at(0));
+    tables.merge_line(&line(1, 3, quiet), at(1));
+    tables.tick(at(1));
+    assert_eq!(names(&tables), expected);
+}
+
+#[test]
+fn deaths_far_apart_are_not_held() {
+    let mut tables = trio();
+    for name in ["a", "b", "c", "d"] {
+        tables.merge_member(&watched_by(name, &[1]), at(0));
+    }
+    let quiet = tables.timing().quiet;
+    let mut now = at(0);
+    let mut seq = 3;
+    for dead in [&["a"][..], &["a", "b"], &["a", "b", "c"]] {
+        let until = now + quiet + at(1);
+        while now < until {
+            now = now + at(1);
+            tables.merge_line(&line(1, seq, dead), now);
+            tables.tick(now);
+            seq += 1;
+        }
+        assert_eq!(names(&tables).len(), 4 - dead.len());
+    }
+}
+
+/// Runs balancer 0 beside balancer 1, whose lines except `dead`.
+fn run(tables: &mut membership::Tables, from: clock::Millis, until: clock::Millis, dead: &[&str]) {
+    let mut now = from;
+    while now < until {
+        now = now + at(1);
+        tables.merge_line(&line(1, now.0, dead), now);
+        tables.tick(now);
+    }
+}
+
+#[parameterized(
+    same_entry = { 5, 1, Merge::Refused },
+    older_run = { 4, 9, Merge::Refused },
+    later_change = { 5, 2, Merge::Taken },
+    later_run = { 6, 0, Merge::Taken },
+)]
+fn forgotten_entry(incarnation: u64, change: u32, expected: Merge) {
+    let mut tables = trio();
+    tables.synced(at(0));
+    let mut member = watched_by("a", &[0, 1]);
+    tables.merge_member(&member, at(0));
+    let forgotten = tables.timing().forget + at(10);
+    run(&mut tables, at(0), forgotten, &["a"]);
+    assert!(tables.members().is_empty(), "the dead agent is forgotten");
+    assert!(
+        tables.line().except.contains(&node("a")),
+        "others may still hold the agent"
+    );
+    member.incarnation = ident::Incarnation(incarnation);
+    member.change = change;
+    assert_eq!(tables.merge_member(&member, forgotten), expected);
+    let kept = forgotten + tables.timing().tombstone + at(1);
+    run(&mut tables, forgotten, kept, &["a"]);
+    assert_eq!(
+        tables.tombstone(node("a")).is_some(),
+        expected == Merge::Taken
+    );
+}
+
+#[parameterized(
+    alive = { &[], Merge::Refused, 1 },
+    dead = { &["a"], Merge::Taken, 0 },
+)]
+fn tombstone_of_a_peer(dead: &[&str], expected: Merge, left: usize) {
+    let mut tables = trio();
+    tables.merge_member(&watched_by("a", &[1]), at(0));
+    run(&mut tables, at(0), at(3), dead);
+    let stone = membership::Tombstone {
+        node: node("a"),
+        incarnation: ident::Incarnation(5),
+        change: 1,
+    };
+    assert_eq!(tables.merge_tombstone(&stone, at(3)), expected);
+    assert_eq!(tables.members().len(), left);
+}
+
+#[test]
+fn own_entry_outruns_an_earlier_run_with_a_later_clock() {
+    let mut tables = tables(0);
+    let mut earlier = balancer(0);
+    earlier.incarnation = ident::Incarnation(50);
+    assert_eq!(tables.merge_balancer(&earlier, at(0)), Merge::Taken);
+    assert_eq!(tables.own().incarnation, ident::Incarnation(51));
+    assert!(tables.tick(at(0)), "the line must carry the new run");
+    assert_eq!(tables.line().incarnation, ident::Incarnation(51));
+}
+
+#[parameterized(
+    none = { 0, 0, 0 },
+    one = { 1, 1, 1 },
+    two_of_two_domains = { 2, 2, 2 },
+    three_domains = { 9, 3, 3 },
+    one_domain = { 9, 1, 3 },
+)]
+fn watcher_choice(count: u16, domains: u16, expected: usize) {
+    let balancers: Vec<_> = (0..count)
+        .map(|index| member::Balancer {
+            domain: format!("domain-{}", index % domains.max(1)),
+            ..balancer(index)
+        })
+        .collect();
+    for agent in 0..50 {
+        let chosen = membership::watchers(node(&agent.to_string()), &balancers);
+        assert_eq!(chosen.len(), expected);
+        let mut seen: Vec<_> = balancers
+            .iter()
+            .filter(|balancer| chosen.contains(&balancer.node))
+            .map(|balancer| &balancer.domain)
+            .collect();
+        seen.sort_unstable();
+        seen.dedup();
+        assert_eq!(seen.len(), usize::from(domains).min(expected));
+    }
+}
+
+#[test]
+fn watcher_choice_moves_only_with_its_balancers() {
+    let all: Vec<_> = (0..12).map(balancer).collect();
+    let mut fewer = all.clone();
+    fewer[4].leaving = true;
+    for agent in 0..50 {
+        let agent = node(&agent.to_string());
+        let before = membership::watchers(agent, &all);
+        let after = membership::watchers(agent, &fewer);
+        assert!(!after.contains(&all[4].node));
+        if !before.contains(&all[4].node) {
+            assert_eq!(before, after);
+        }
+    }
+}
