--- a/src/bin/cassiacross-balancer/shared.rs
+++ b/src/bin/cassiacross-balancer/shared.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use cassiacross::{balancer, clock, config, exchange, forward, seal};
+use cassiacross::{balancer, clock, config, exchange, forward, seal, settings};
 
 use crate::metrics;
 
@@ -23,6 +23,7 @@
     listed: AtomicBool,
     leaving: AtomicBool,
     clock: clock::Clock,
+    settings: settings::Balancer,
     sealer: seal::Sealer,
     metrics: metrics::Metrics,
 }
@@ -32,7 +33,7 @@
     pub(crate) fn new(
         balancer: balancer::Balancer,
         clock: clock::Clock,
-        sealer: seal::Sealer,
+        settings: settings::Balancer,
     ) -> Self {
         Self(Arc::new(Inner {
             balancer: Mutex::new(balancer),
@@ -43,7 +44,8 @@
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             clock,
-            sealer,
+            sealer: seal::Sealer::new(&settings.common.fleet_key),
+            settings,
             metrics: metrics::Metrics::new(),
         }))
     }
@@ -84,6 +86,11 @@
         self.0.clock.now()
     }
 
+    /// The daemon's settings.
+    pub(crate) fn settings(&self) -> &settings::Balancer {
+        &self.0.settings
+    }
+
     /// The fleet's sealer.
     pub(crate) fn sealer(&self) -> &seal::Sealer {
         &self.0.sealer
