--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -171,7 +171,9 @@
         let name = format!("balancer-{}", self.started);
         let domains = &self.deployment.domains;
         let domain = domains[(self.started - 1) % domains.len()].to_owned();
-        let balancer = self.start_balancer(&name, domain).await?;
+        let balancer = self
+            .start_balancer(&name, domain, host::Place::default())
+            .await?;
         let http = balancer.addr.http;
         self.balancers.push(balancer);
         let what = format!("readiness of {name}");
@@ -205,9 +207,14 @@
         Ok(())
     }
 
-    /// Starts an agent and its upstream under a new name.
-    pub async fn add_upstream(&mut self, name: &str, plan: &host::Plan) -> Result<(), Error> {
-        let (agent, addr) = self.start_agent(name, &plan.domain).await?;
+    /// Starts an agent at a place, and its upstream.
+    pub async fn add_upstream(
+        &mut self,
+        name: &str,
+        plan: &host::Plan,
+        place: host::Place,
+    ) -> Result<(), Error> {
+        let (agent, addr) = self.start_agent(name, &plan.domain, place).await?;
         let (process, upstream) = self.start_upstream(name, plan, addr.local).await?;
         self.upstreams.push(host::Upstream {
             name: name.to_owned(),
@@ -239,15 +246,41 @@
         Ok(())
     }
 
-    /// Kills an agent and starts it again, at new addresses, with its upstream told the new one.
-    pub async fn restart_agent(&mut self, name: &str) -> Result<(), Error> {
+    /// Kills an agent and starts it again; its upstream stays and finds it where it was.
+    ///
+    /// Packets and HTTP calls arrive at a new address if `moves`.
+    pub async fn restart_agent(&mut self, name: &str, moves: bool) -> Result<(), Error> {
         let index = self.upstream(name)?;
-        let plan = self.upstreams[index].plan.clone();
+        let domain = self.upstreams[index].plan.domain.clone();
+        let old = host::Place::from(self.upstreams[index].addr);
         self.upstreams[index].agent.kill();
-        self.save_ledger(index).await;
-        self.upstreams[index].process.kill();
-        self.upstreams.remove(index);
-        self.add_upstream(name, &plan).await
+        let place = if moves {
+            host::Place {
+                local: old.local,
+                ..host::Place::default()
+            }
+        } else {
+            old
+        };
+        let (agent, addr) = self.start_agent(name, &domain, place).await?;
+        self.upstreams[index].agent = agent;
+        self.upstreams[index].addr = addr;
+        Ok(())
+    }
+
+    /// Kills a balancer and starts it again, at new addresses if it `moves`.
+    pub async fn restart_balancer(&mut self, name: &str, moves: bool) -> Result<(), Error> {
+        let index = self.balancer(name)?;
+        let mut old = self.balancers.remove(index);
+        old.process.kill();
+        let place = if moves {
+            host::Place::default()
+        } else {
+            host::Place::from(old.addr)
+        };
+        let balancer = self.start_balancer(name, old.domain, place).await?;
+        self.balancers.push(balancer);
+        self.tell_fabric().await
     }
 
     /// Sends a signal to a process of any role; agents are named `agent-UPSTREAM`.
@@ -366,7 +399,8 @@
                 speed: *speed,
             };
             let name = format!("{}-{}", service.name, index + 1);
-            self.add_upstream(&name, &plan).await?;
+            self.add_upstream(&name, &plan, host::Place::default())
+                .await?;
         }
         Ok(())
     }
@@ -393,12 +427,13 @@
         &mut self,
         name: &str,
         domain: String,
+        place: host::Place,
     ) -> Result<host::Balancer, Error> {
         let front = self.front(front::Role::Balancer, name);
         let reached = front.advertise["http"].as_str();
         let reached = reached.and_then(|http| http.parse().ok());
-        let mut settings = self.common(name, &domain, front.advertise);
-        settings["control"] = json!(LOOPBACK_ANY);
+        let mut settings = self.common(name, &domain, front.advertise, place);
+        settings["control"] = address(place.control);
         settings["platform"] = json!(format!("http://{}", self.platform));
         let process = self
             .start_daemon(Program::Balancer, name, &settings)
@@ -418,10 +453,11 @@
         &mut self,
         upstream: &str,
         domain: &str,
+        place: host::Place,
     ) -> Result<(Process, host::AgentAddr), Error> {
         let front = self.front(front::Role::Agent, upstream);
-        let mut settings = self.common(upstream, domain, front.advertise);
-        settings["local"] = json!(LOOPBACK_ANY);
+        let mut settings = self.common(upstream, domain, front.advertise, place);
+        settings["local"] = address(place.local);
         let name = format!("agent-{upstream}");
         let process = self.start_daemon(Program::Agent, &name, &settings).await?;
         self.tell_interposer(front::Role::Agent, upstream, process.addresses());
@@ -473,13 +509,13 @@
         Ok(process.await?)
     }
 
-    fn common(&self, name: &str, domain: &str, advertise: Value) -> Value {
+    fn common(&self, name: &str, domain: &str, advertise: Value, place: host::Place) -> Value {
         let seeds: Vec<_> = self.balancers.iter().map(|one| one.reached).collect();
         let mut settings = json!({
             "name": name,
             "domain": domain,
-            "packets": LOOPBACK_ANY,
-            "http": LOOPBACK_ANY,
+            "packets": address(place.packets),
+            "http": address(place.http),
             "seeds": seeds,
             "fleet_key": FLEET_KEY,
             "operator_token": OPERATOR_TOKEN,
@@ -578,3 +614,8 @@
 fn http(process: &Process) -> Result<SocketAddr, Error> {
     Ok(HttpAddr::deserialize(process.addresses())?.http)
 }
+
+fn address<A: ToString>(addr: Option<A>) -> Value {
+    let addr = addr.map_or_else(|| LOOPBACK_ANY.to_owned(), |addr| addr.to_string());
+    Value::String(addr)
+}
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -28,6 +28,41 @@
     pub local: SocketAddr,
 }
 
+/// Where a process is to listen; a free port of the loopback where nothing is said.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Place {
+    /// Where packets arrive.
+    pub packets: Option<SocketAddrV4>,
+    /// Where HTTP calls arrive.
+    pub http: Option<SocketAddrV4>,
+    /// Where sealed datagrams arrive at a balancer.
+    pub control: Option<SocketAddrV4>,
+    /// Where an upstream announces itself at its agent.
+    pub local: Option<SocketAddr>,
+}
+
+impl From<BalancerAddr> for Place {
+    fn from(addr: BalancerAddr) -> Self {
+        Self {
+            packets: Some(addr.packets),
+            http: Some(addr.http),
+            control: Some(addr.control),
+            local: None,
+        }
+    }
+}
+
+impl From<AgentAddr> for Place {
+    fn from(addr: AgentAddr) -> Self {
+        Self {
+            packets: Some(addr.packets),
+            http: Some(addr.http),
+            control: None,
+            local: Some(addr.local),
+        }
+    }
+}
+
 /// Addresses of an upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 pub struct UpstreamAddr {
