Add fault-injecting UDP and TCP proxies

Tests with real processes need harm between them: loss, delay, reordering, duplicates, corruption, a cut in one direction, a pause, resets, and connections that go silent for good while new ones work. A proxy listens before its target is known, so its address can stand in the settings of the process behind it.

The first form lost datagrams: a try_send on a new tokio socket fails until the socket is known to be writable.

--- a/standins/src/fabric.rs
+++ b/standins/src/fabric.rs
@@ -209,6 +209,8 @@
 /// Starts a fabric on a running tokio runtime.
 pub async fn start(options: Options) -> io::Result<Fabric> {
     let socket = UdpSocket::bind(options.packets).await?;
+    // Sending does not wait, and a new socket is not known to be writable.
+    socket.writable().await?;
     let control = TcpListener::bind(options.http).await?;
     let addresses = Addresses {
         packets: socket.local_addr()?,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod control;
 pub mod fabric;
 pub mod faults;
+pub mod proxy;
