Keep a FIN that comes ahead of bytes, and hold bursts of datagrams

Two causes, told apart by the time of the last byte and of the end:

- The end came a second or two after the last byte. smoltcp ignores a FIN in front of a gap, and its sender repeats it only after a retransmission timeout, which smoltcp holds at a second or more.
Sprayed packets cross often.
The endpoint keeps such a FIN without its bytes and shows it again with each packet that follows.
- Bytes came a second late.
Ruled out: faults (none set) and sends that fail.

--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -105,6 +105,7 @@
     isn: Option<u32>,
     lapse: Option<clock::Millis>,
     tail: Vec<u8>,
+    fin: Option<Vec<u8>>,
     closing: bool,
     opened: bool,
     finned: bool,
@@ -177,6 +178,7 @@
             Cause::Packet
         };
         self.observe(before, cause);
+        self.replay_fin(packet, now, send);
         if self.must_close() {
             self.poll(now, send);
         }
@@ -357,6 +359,7 @@
             isn: None,
             lapse: Some(now + options.handshake),
             tail: Vec::new(),
+            fin: None,
             closing: false,
             opened: false,
             finned: false,
@@ -388,6 +391,25 @@
         }
     }
 
+    /// Shows the socket a FIN again that came ahead of bytes.
+    ///
+    /// The socket ignores such a FIN, and its sender would repeat it only after
+    /// a retransmission timeout, while packets that are sprayed often cross.
+    fn replay_fin(&mut self, packet: &[u8], now: clock::Millis, send: &mut dyn FnMut(&[u8])) {
+        if self.finned || self.finished() {
+            self.fin = None;
+            return;
+        }
+        if let Some(fin) = bare_fin(packet) {
+            self.fin = Some(fin);
+        } else if let Some(fin) = self.fin.take() {
+            let before = self.state();
+            self.run(Some(&fin), now, send);
+            self.observe(before, Cause::Packet);
+            self.fin = (!self.finned).then_some(fin);
+        }
+    }
+
     /// Whether the owner has closed a flow whose socket does not know yet.
     fn must_close(&self) -> bool {
         let open = matches!(
@@ -571,6 +593,26 @@
     iface
 }
 
+/// The packet's FIN without its bytes, if it has one.
+fn bare_fin(packet: &[u8]) -> Option<Vec<u8>> {
+    let ip = wire::Ipv4Packet::new_checked(packet).ok()?;
+    let tcp = wire::TcpPacket::new_checked(ip.payload()).ok()?;
+    if !tcp.fin() {
+        return None;
+    }
+    let len = usize::from(ip.header_len()) + usize::from(tcp.header_len());
+    let seq = tcp.seq_number() + tcp.payload().len();
+    let mut bytes = packet[..len].to_vec();
+    let mut ip = wire::Ipv4Packet::new_unchecked(&mut bytes);
+    ip.set_total_len(u16::try_from(len).ok()?);
+    ip.fill_checksum();
+    let (source, target) = (ip.src_addr().into(), ip.dst_addr().into());
+    let mut tcp = wire::TcpPacket::new_unchecked(ip.payload_mut());
+    tcp.set_seq_number(seq);
+    tcp.fill_checksum(&source, &target);
+    Some(bytes)
+}
+
 /// The ends of a flow as packets from the service to the caller name them.
 const fn reverse(flow: packet::Flow) -> packet::Flow {
     packet::Flow {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod settings;
 pub mod stream;
 pub mod table;
+pub mod udp;
--- /dev/null
+++ b/src/udp.rs
@@ -0,0 +1,20 @@
+//! UDP sockets for packets, which arrive in bursts.
+
+use std::{
+    io,
+    net::{SocketAddrV4, UdpSocket},
+};
+
+const RECEIVE_LEN: usize = 4 * 1_024 * 1_024;
+
+/// Binds a socket that does not block and holds a burst of datagrams.
+///
+/// The receive buffer is 4 MiB, or what the host grants of it. The first send
+/// on a tokio socket made of it has to be awaited, since a new socket is not
+/// known to be writable.
+pub fn bind(addr: SocketAddrV4) -> io::Result<UdpSocket> {
+    let socket = UdpSocket::bind(addr)?;
+    socket2::SockRef::from(&socket).set_recv_buffer_size(RECEIVE_LEN)?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
--- a/standins/src/fabric.rs
+++ b/standins/src/fabric.rs
@@ -20,7 +20,7 @@
     time::Duration,
 };
 
-use cassiacross::{clock, endpoint, gue, packet, reset, stream};
+use cassiacross::{clock, endpoint, gue, packet, reset, stream, udp};
 use futures_util::future;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
@@ -208,7 +208,7 @@
 
 /// Starts a fabric on a running tokio runtime.
 pub async fn start(options: Options) -> io::Result<Fabric> {
-    let socket = UdpSocket::bind(options.packets).await?;
+    let socket = UdpSocket::from_std(udp::bind(options.packets)?)?;
     // Sending does not wait, and a new socket is not known to be writable.
     socket.writable().await?;
     let control = TcpListener::bind(options.http).await?;
--- a/standins/src/proxy/udp.rs
+++ b/standins/src/proxy/udp.rs
@@ -5,11 +5,12 @@
 
 use std::{
     io,
-    net::{self, Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
+use cassiacross::udp;
 use tokio::{net::UdpSocket, sync::watch, task::JoinSet, time};
 
 use crate::faults;
@@ -218,9 +219,7 @@
 }
 
 fn bind() -> io::Result<UdpSocket> {
-    let socket = net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
-    socket.set_nonblocking(true)?;
-    UdpSocket::from_std(socket)
+    UdpSocket::from_std(udp::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0))?)
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/standins/tests/fabric.rs
+++ b/standins/tests/fabric.rs
@@ -15,6 +15,7 @@
     endpoint::{self, Endpoint},
     gue, packet,
     stream::{self, Handle, Stream},
+    udp,
 };
 use hyper::StatusCode;
 use serde_json::{Value, json};
@@ -62,9 +63,8 @@
 }
 
 async fn toy(agent: &Arc<Agent>, manner: Manner) -> Toy {
-    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
-        .await
-        .expect("a socket binds");
+    let socket = udp::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)).expect("a socket binds");
+    let socket = UdpSocket::from_std(socket).expect("it does not block");
     let http = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
         .await
         .expect("a listener binds");
--- a/tests/endpoint.rs
+++ b/tests/endpoint.rs
@@ -205,6 +205,32 @@
     assert!(pair.now < clock::Millis(15_000));
 }
 
+/// The last packets of the caller arrive in an order of their own, without any timer.
+#[parameterized(
+    in_order = { 2_000, &[0, 1] },
+    fin_with_bytes_first = { 2_000, &[1, 0] },
+    fin_first = { 0, &[0] },
+    reversed = { 6_000, &[4, 3, 2, 1, 0] },
+    fin_in_between = { 6_000, &[1, 4, 0, 3, 2] },
+    fin_twice = { 2_000, &[1, 1, 0] },
+)]
+fn fin_that_crosses_bytes_is_kept(len: usize, order: &[usize]) {
+    let mut pair = Pair::open(Path::default(), 24);
+    let mut sent = Vec::new();
+    let bytes = pattern(len);
+    let now = pair.now;
+    assert_eq!(pair.caller.write(&bytes), Poll::Ready(Ok(len)));
+    pair.caller.close();
+    pair.caller
+        .poll(now, &mut |packet| sent.push(packet.to_vec()));
+    for index in order {
+        let _ = pair.service.deliver(&sent[*index], now, &mut |_packet| {});
+    }
+    let mut received = Vec::new();
+    assert!(read_some(&mut pair.service, &mut received));
+    assert_eq!(received, bytes);
+}
+
 #[test]
 fn unread_bytes_outlive_the_flow() {
     let mut pair = Pair::open(Path::default(), 22);
