--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,5 +40,6 @@
 pub mod settings;
 pub mod stream;
 pub mod table;
+pub mod udp;
 pub mod views;
 pub mod watch;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod platform;
 pub mod process;
+pub mod proxy;
 pub mod register;
 pub mod upstream;
 pub mod wait;
