Add the operator's tool

Cause: operators need one command that changes records through any balancer and says plainly whether a change was accepted, refused or is undecided.

--- /dev/null
+++ b/src/bin/cassiacross/lag.rs
@@ -0,0 +1,84 @@
+//! Which processes have not the newest versions in force.
+
+use cassiacross::{admin, config};
+use serde::Serialize;
+
+/// A balancer's answer to a question for its status.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Asked {
+    /// The address asked.
+    pub(crate) addr: String,
+    /// The status, if it came.
+    pub(crate) status: Option<admin::Status>,
+    /// Why it did not come.
+    pub(crate) error: Option<String>,
+}
+
+/// One record over all processes that answered.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Row {
+    /// The record's name.
+    pub(crate) name: String,
+    /// The highest version that any process has seen.
+    pub(crate) newest: u64,
+    /// The lowest version in force, 0 for none.
+    pub(crate) lowest: u64,
+    /// Processes that have not the newest version in force.
+    pub(crate) lagging: Vec<String>,
+    /// Why the newest version is not in force in one of them, if known.
+    pub(crate) fault: Option<String>,
+}
+
+/// The records over all processes that answered, sorted by name.
+pub(crate) fn rows(asked: &[Asked]) -> Vec<Row> {
+    let statuses: Vec<_> = asked
+        .iter()
+        .filter_map(|asked| asked.status.as_ref())
+        .collect();
+    let records = statuses.iter().flat_map(|status| &status.records);
+    let mut names: Vec<_> = records.map(|record| record.name.as_str()).collect();
+    names.sort_unstable();
+    names.dedup();
+    names.iter().map(|name| row(name, &statuses)).collect()
+}
+
+/// Processes that a balancer knows of and that told another digest than its own.
+pub(crate) fn differing(asked: &[Asked]) -> Vec<String> {
+    let statuses = asked.iter().filter_map(|asked| asked.status.as_ref());
+    let mut names: Vec<_> = statuses
+        .flat_map(|status| status.peers.iter().map(move |peer| (peer, status.digest)))
+        .filter(|(peer, digest)| peer.digest.is_some_and(|other| other != *digest))
+        .map(|(peer, _)| peer.name.clone())
+        .collect();
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+fn row(name: &str, statuses: &[&admin::Status]) -> Row {
+    let standings: Vec<_> = statuses
+        .iter()
+        .map(|status| (status.name.as_str(), standing(status, name)))
+        .collect();
+    let places = || standings.iter().filter_map(|(_, place)| *place);
+    let newest = places().map(|place| place.seen).max().unwrap_or(0);
+    let lagging = standings
+        .iter()
+        .filter(|(_, place)| in_force(*place) < newest);
+    let lowest = standings.iter().map(|(_, place)| in_force(*place)).min();
+    Row {
+        name: name.to_owned(),
+        newest,
+        lowest: lowest.unwrap_or(0),
+        lagging: lagging.map(|(name, _)| (*name).to_owned()).collect(),
+        fault: places().find_map(|place| place.fault.clone()),
+    }
+}
+
+fn standing<'a>(status: &'a admin::Status, name: &str) -> Option<&'a config::Standing> {
+    status.records.iter().find(|record| record.name == name)
+}
+
+fn in_force(standing: Option<&config::Standing>) -> u64 {
+    standing.map_or(0, |standing| standing.in_force)
+}
--- /dev/null
+++ b/src/bin/cassiacross/main.rs
@@ -0,0 +1,21 @@
+//! The operator's tool: changes records and shows what is in force where.
+
+mod access;
+mod app;
+mod calls;
+mod cli;
+mod failure;
+mod lag;
+
+use std::process::ExitCode;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    match app::run(cli::Cassiacross::from_env_or_exit()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("cassiacross: {failure}");
+            failure.exit_code()
+        }
+    }
+}
