Name the entry that a refused heartbeat must exceed; rejoin when alone

An agent whose host's wall clock went back announced an older run and was dropped as a replay until its last entry was forgotten. The answer now names the latest known run, so that the agent can start a later one.

--- a/src/bin/cassiacross-balancer/peers.rs
+++ b/src/bin/cassiacross-balancer/peers.rs
@@ -11,7 +11,7 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_ANSWER: usize = 16 << 20;
-const JOIN_TRIES: u32 = 5;
+const JOIN_TRIES: u64 = 5;
 
 /// Calls other balancers with the fleet's bearer text.
 #[derive(Clone, Debug)]
@@ -41,25 +41,26 @@
         });
     }
 
-    /// Takes everything from a seed; without one that answers, stands alone
-    /// after [`JOIN_TRIES`] and goes on trying while no peer is known.
+    /// Takes everything from a seed whenever no peer is known.
+    ///
+    /// Without a seed that answers, the balancer stands alone after
+    /// [`JOIN_TRIES`] and goes on trying.
     pub(crate) async fn join(
         &self,
         shared: &shared::Shared,
         seeds: &[SocketAddrV4],
         period: Duration,
     ) {
-        for tries in 1.. {
-            if has_peer(shared) && shared.is_joined() {
-                return;
-            }
-            if self.join_once(shared, seeds).await || seeds.is_empty() || tries >= JOIN_TRIES {
-                let now = shared.now();
-                shared.balancer().stand_alone(now);
-                shared.set_joined();
-            }
-            if seeds.is_empty() {
-                return;
+        let mut tries = 0;
+        loop {
+            if !shared.is_joined() || !has_peer(shared) {
+                tries += 1;
+                let joined = self.join_once(shared, seeds).await;
+                if joined || seeds.is_empty() || tries >= JOIN_TRIES {
+                    let now = shared.now();
+                    shared.balancer().stand_alone(now);
+                    shared.set_joined();
+                }
             }
             time::sleep(period).await;
         }
@@ -69,10 +70,10 @@
         for seed in seeds {
             match self.sync(shared, *seed).await {
                 Ok(()) => {
-                    log::info!(seed:% = seed; "took the tables of a seed");
+                    log::debug!(seed:% = seed; "took the tables of a seed");
                     return true;
                 }
-                Err(error) => log::info!(seed:% = seed, error:? = error; "seed does not answer"),
+                Err(error) => log::debug!(seed:% = seed, error:? = error; "seed does not answer"),
             }
         }
         false
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -58,8 +58,10 @@
     pub digest: u64,
     /// Highest version of a record at the balancer.
     pub version: u64,
-    /// Where the entry was refused: the agent must announce a change above this.
-    pub refused: Option<u32>,
+    /// Where the entry was refused: the agent must announce a later one than this.
+    ///
+    /// A later run has a greater incarnation; within one run the change counts.
+    pub refused: Option<membership::Tombstone>,
 }
 
 /// A record and its version, without the record.
@@ -258,7 +260,7 @@
             self.note(Topic::Member(node));
         }
         let refused = (merge == membership::Merge::Refused)
-            .then(|| tables.tombstone(node).map(|stone| stone.change))
+            .then(|| tables.newest(node))
             .flatten();
         let service = &beat.member.service;
         Some(Ack {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -344,17 +344,17 @@
     /// Takes an agent's own heartbeat: its entry, and the proof that it is alive.
     ///
     /// Gives what became of the entry, or `None` where the heartbeat was seen
-    /// before or is of an older run.
+    /// before. An older run is refused: either the heartbeat is late, or the
+    /// host's wall clock went back, and the agent has to start a later run.
     pub fn beat(&mut self, member: &member::Member, seq: u64, now: clock::Millis) -> Option<Merge> {
         let merge = self.merge_member(member, now);
-        let row = self
-            .find_member(member.node)
-            .ok()
-            .map(|at| &mut self.members[at])
-            .filter(|row| row.member.incarnation == member.incarnation);
-        let Some(row) = row else {
-            return (merge == Merge::Refused).then_some(merge);
+        let Ok(at) = self.find_member(member.node) else {
+            return Some(Merge::Refused);
         };
+        let row = &mut self.members[at];
+        if row.member.incarnation != member.incarnation {
+            return Some(Merge::Refused);
+        }
         if row.beat.is_some_and(|beat| beat.seq >= seq) {
             return None;
         }
@@ -362,6 +362,14 @@
         Some(merge)
     }
 
+    /// The latest entry that is known of an agent, be it held or forgotten.
+    #[must_use]
+    pub fn newest(&self, node: ident::NodeId) -> Option<Tombstone> {
+        self.member(node)
+            .map(|row| stone(&row.member))
+            .or_else(|| self.tombstone(node))
+    }
+
     /// Offers a balancer's entry.
     ///
     /// A foreign entry of this balancer with a later run makes this one later
@@ -666,11 +674,7 @@
             .partition(|row| row.died.is_some_and(|at| now.since(at) > timing.forget));
         self.members = kept;
         for row in forgotten {
-            let stone = Tombstone {
-                node: row.member.node,
-                incarnation: row.member.incarnation,
-                change: row.member.change,
-            };
+            let stone = stone(&row.member);
             let watched = row.member.watchers.contains(&self.me);
             self.bury(stone, watched, now);
         }
@@ -792,6 +796,14 @@
     texts.iter().all(|text| text.len() <= MAX_TEXT) && member.watchers.len() <= WATCHERS
 }
 
+const fn stone(member: &member::Member) -> Tombstone {
+    Tombstone {
+        node: member.node,
+        incarnation: member.incarnation,
+        change: member.change,
+    }
+}
+
 const fn version_of(member: &member::Member) -> (ident::Incarnation, u32) {
     (member.incarnation, member.change)
 }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -296,7 +296,7 @@
     let (kind, body) = agent.receive();
     let (header, inner) = header::decode(&body).expect("the header is whole");
     assert_eq!(kind, seal::Kind::Packet);
-    assert_eq!((header.fabric, inner), (fabric, &packet[..]));
+    assert_eq!((header.fabric, inner), (fabric, &*packet));
     assert_eq!(header.target, agent.beat.member.hop());
 
     agent.beat.member.state = member::State::Draining;
@@ -392,12 +392,12 @@
 fn bad_datagrams_are_counted_and_do_no_harm() {
     let daemon = Daemon::start("balancer-1", &[]);
     let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
-    let mut sealed = Vec::new();
+    let mut noise = Vec::new();
     let sealer = seal::Sealer::new(KEY);
-    sealer.seal(seal::Kind::Exchange, &[&[0xff; 30]], &mut sealed);
+    sealer.seal(seal::Kind::Exchange, &[&[0xff; 30]], &mut noise);
     let mut foreign = Vec::new();
     sealer.seal(seal::Kind::Displaced, &[], &mut foreign);
-    for datagram in [&[][..], &[2; 40], &[2; 4_000], &sealed, &foreign] {
+    for datagram in [&[][..], &[2; 40], &[2; 4_000], &noise, &foreign] {
         socket
             .send_to(datagram, daemon.bound.control)
             .expect("it is sent");
@@ -419,7 +419,7 @@
     no_bearer = { "", b"", 401 },
     operator_token = { TOKEN, b"", 401 },
     not_a_message = { "fleet", b"\xc1", 400 },
-    too_long = { "fleet", &[0; 70_000], 413 },
+    too_long = { "fleet", &vec![0; 70_000], 413 },
 )]
 fn fleet_call_is_refused(bearer: &str, body: &[u8], expected: u16) {
     let daemon = Daemon::start("balancer-1", &[]);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -319,13 +319,25 @@
     let mut beat = silent;
     beat.seq += 1;
     let ack = ack(&mut fleet, &beat);
-    assert_eq!(ack.refused, Some(1));
+    assert_eq!(ack.refused.map(|entry| entry.change), Some(1));
     beat.seq += 1;
     beat.member.change = 2;
     assert_eq!(self::ack(&mut fleet, &beat).refused, None);
     assert_eq!(fleet.balancers[0].tables().members().len(), 1);
 }
 
+#[test]
+fn ack_names_the_run_that_must_be_exceeded() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run(3);
+    let mut beat = fleet.beats.remove(0);
+    beat.member.incarnation = ident::Incarnation(4);
+    beat.seq = 1;
+    let refused = ack(&mut fleet, &beat).refused;
+    let newest = refused.map(|entry| entry.incarnation);
+    assert_eq!(newest, Some(ident::Incarnation(5)));
+}
+
 fn ack(fleet: &mut Fleet, beat: &exchange::Heartbeat) -> exchange::Ack {
     let datagram = fleet.seal(seal::Kind::Heartbeat, &exchange::encode(beat));
     match fleet.balancers[0].datagram(&fleet.sealer, &datagram, fleet.now) {
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -161,7 +161,10 @@
 fn address_that_moved_belongs_to_the_new_service_only() {
     let ledger = service("ledger", 80, 1).service;
     let sheets = service("sheets", 80, 2).service;
-    let before = routes(&[ledger.clone()], &members(&[member::State::Ready]));
+    let before = routes(
+        std::slice::from_ref(&ledger),
+        &members(&[member::State::Ready]),
+    );
     let after = before.rebuild([&sheets], |_| Vec::new());
     let route = after.find(ledger.address).expect("the address has a route");
     assert_eq!(route.service, ident::ServiceId::of("sheets"));
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -193,7 +193,9 @@
     let mut member = watched_by("a", &[0]);
     tables.beat(&member, 1, at(0));
     member.incarnation = ident::Incarnation(4);
-    assert_eq!(tables.beat(&member, 99, at(1)), None);
+    assert_eq!(tables.beat(&member, 99, at(1)), Some(Merge::Refused));
+    let newest = tables.newest(member.node).map(|entry| entry.incarnation);
+    assert_eq!(newest, Some(ident::Incarnation(5)));
     assert_eq!(tables.members()[0].beat.map(|beat| beat.seq), Some(1));
 }
 
