--- a/src/bin/cassiacross-agent/app.rs
+++ b/src/bin/cassiacross-agent/app.rs
@@ -8,7 +8,7 @@
 };
 
 use anyhow::Context;
-use cassiacross::{clock, ident, member, seal, settings};
+use cassiacross::{clock, ident, member, seal, settings, udp};
 use gotham::router::Router;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
@@ -58,7 +58,9 @@
 
 async fn serve_async(settings: settings::Agent) -> anyhow::Result<()> {
     let name = settings.common.name.clone();
-    let socket = UdpSocket::bind(settings.packets).await.context("packets")?;
+    let socket = udp::bind(settings.packets).context("packets")?;
+    let socket = UdpSocket::from_std(socket)?;
+    socket.writable().await?;
     let http = TcpListener::bind(settings.common.http)
         .await
         .context("http")?;
--- a/src/bin/cassiacross-agent/control.rs
+++ b/src/bin/cassiacross-agent/control.rs
@@ -40,9 +40,8 @@
 
 /// Notes a balancer's answer; a digest that differs asks for a pull.
 pub(crate) fn acknowledged(shared: &Shared, ack: &exchange::Ack) {
-    if let Some(change) = ack.refused {
-        let mut me = lock(&shared.me);
-        me.change = me.change.max(change + 1);
+    if let Some(known) = &ack.refused {
+        exceed(&mut lock(&shared.me), known);
     }
     let views = lock(&shared.views);
     if views.digest() == ack.digest {
@@ -55,6 +54,16 @@
     *lock(&shared.pull) = known.map(|balancer| balancer.http);
 }
 
+/// Makes an entry later than one that balancers know from before.
+fn exceed(me: &mut member::Member, known: &membership::Tombstone) {
+    if known.incarnation > me.incarnation {
+        me.incarnation = ident::Incarnation(known.incarnation.0 + 1);
+    }
+    if known.incarnation == me.incarnation {
+        me.change = me.change.max(known.change + 1);
+    }
+}
+
 /// Pulls the agent's view where a watcher's differs; returns whether one was taken.
 async fn pull_if_due(shared: &Shared, client: &reqwest::Client) -> bool {
     let service = lock(&shared.me).service.clone();
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -14,7 +14,7 @@
 
 use anyhow::Context;
 use cassiacross::{
-    admin, balancer, clock, exchange, ident, member, membership, platform, settings,
+    admin, balancer, clock, exchange, ident, member, membership, platform, settings, udp,
 };
 use serde::Serialize;
 use tokio::{
@@ -77,7 +77,8 @@
 
 async fn serve_async(settings: &settings::Balancer) -> anyhow::Result<()> {
     let common = &settings.common;
-    let packets = std::net::UdpSocket::bind(settings.packets).context("packets")?;
+    let packets = udp::bind(settings.packets).context("packets")?;
+    packets.set_nonblocking(false)?;
     let control = UdpSocket::bind(settings.control).await.context("control")?;
     let http = TcpListener::bind(common.http).await.context("http")?;
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
@@ -106,10 +107,8 @@
     tokio::spawn(serve_http(http, shared.clone(), admin));
     let me = shared.balancer().tables().own().clone();
     let (joining, registry) = (shared.clone(), client.clone());
-    tokio::spawn(async move {
-        peers.join(&joining, &seeds, &registry, period).await;
-        configuration::register(registry, me, period).await;
-    });
+    tokio::spawn(async move { peers.join(&joining, &seeds, &registry, period).await });
+    tokio::spawn(configuration::register(client.clone(), me, period));
     tokio::spawn(configuration::follow(
         shared.clone(),
         client.clone(),
--- a/src/bin/cassiacross-balancer/peers.rs
+++ b/src/bin/cassiacross-balancer/peers.rs
@@ -47,9 +47,11 @@
         });
     }
 
-    /// Takes everything from a seed or a balancer that the platform knows; without
-    /// one that answers, stands alone after [`JOIN_TRIES`] and goes on trying while
-    /// seeds are given and no peer is known.
+    /// Takes everything from a seed, or a balancer that the platform knows, whenever
+    /// no peer is known.
+    ///
+    /// Without one that answers, the balancer stands alone after [`JOIN_TRIES`] and
+    /// goes on trying.
     pub(crate) async fn join(
         &self,
         shared: &shared::Shared,
@@ -57,20 +59,17 @@
         registry: &platform::Client,
         period: Duration,
     ) {
-        let me = shared.balancer().tables().own().http;
-        for tries in 1.. {
-            let mut all = configuration::seeds(registry).await;
-            all.extend_from_slice(seeds);
-            all.retain(|seed| *seed != me);
-            all.shuffle(&mut rand::rng());
-            all.truncate(MAX_SEEDS);
-            if self.join_once(shared, &all).await || all.is_empty() || tries >= JOIN_TRIES {
-                let now = shared.now();
-                shared.balancer().stand_alone(now);
-                shared.set_joined();
-            }
-            if all.is_empty() || has_peer(shared) {
-                return;
+        let mut tries = 0;
+        loop {
+            if !shared.is_joined() || !has_peer(shared) {
+                tries += 1;
+                let seeds = candidates(shared, seeds, registry).await;
+                let joined = self.join_once(shared, &seeds).await;
+                if joined || seeds.is_empty() || tries >= JOIN_TRIES {
+                    let now = shared.now();
+                    shared.balancer().stand_alone(now);
+                    shared.set_joined();
+                }
             }
             time::sleep(period).await;
         }
@@ -80,10 +79,10 @@
         for seed in seeds {
             match self.sync(shared, *seed).await {
                 Ok(()) => {
-                    log::info!(seed:% = seed; "took the tables of a seed");
+                    log::debug!(seed:% = seed; "took the tables of a seed");
                     return true;
                 }
-                Err(error) => log::info!(seed:% = seed, error:? = error; "seed does not answer"),
+                Err(error) => log::debug!(seed:% = seed, error:? = error; "seed does not answer"),
             }
         }
         false
@@ -146,6 +145,21 @@
     }
 }
 
+/// Some of the balancers to join through, in random order.
+async fn candidates(
+    shared: &shared::Shared,
+    seeds: &[SocketAddrV4],
+    registry: &platform::Client,
+) -> Vec<SocketAddrV4> {
+    let me = shared.balancer().tables().own().http;
+    let mut all = configuration::seeds(registry).await;
+    all.extend_from_slice(seeds);
+    all.retain(|seed| *seed != me);
+    all.shuffle(&mut rand::rng());
+    all.truncate(MAX_SEEDS);
+    all
+}
+
 fn has_peer(shared: &shared::Shared) -> bool {
     let now = shared.now();
     let balancer = shared.balancer();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,18 +69,23 @@
 
 pub fn service(name: &str, port: u16, version: u64) -> exchange::Versioned {
     exchange::Versioned {
-        service: record::Service {
+        name: name.to_owned(),
+        version,
+        service: Some(record::Service {
             name: name.to_owned(),
-            address: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), port),
+            address: address(port),
             protocol: record::Protocol::Http,
             weights: Vec::new(),
             rules: Vec::new(),
             deadline: clock::Millis(1_000),
-        },
-        version,
+        }),
     }
 }
 
+pub fn address(port: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, 1), port)
+}
+
 /// The packet that opens a flow.
 pub fn opening(caller: u16, to: SocketAddrV4) -> Vec<u8> {
     let from = Ipv4Addr::new(192, 0, 2, 1);
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -135,13 +135,24 @@
 
     fn pull_records(&mut self, index: usize, peer: SocketAddrV4, names: &[String]) {
         let peer = self.find(|row| row.http == peer).expect("peer is known");
-        let pulled = exchange::select(self.balancers[peer].services(), names);
+        let services = self.balancers[peer].services().iter();
+        let pulled = services
+            .filter(|one| names.contains(&one.name))
+            .cloned()
+            .collect();
         self.configure(index, pulled);
     }
 
     fn configure(&mut self, index: usize, pulled: Vec<exchange::Versioned>) {
-        let services = exchange::adopt(self.balancers[index].services(), pulled);
-        let records = exchange::hints(&services);
+        let mut services = self.balancers[index].services().to_vec();
+        services.extend(pulled);
+        services.sort_by(|a, b| (&a.name, b.version).cmp(&(&b.name, a.version)));
+        services.dedup_by(|later, first| later.name == first.name);
+        let hints = services.iter().map(|one| exchange::Hint {
+            name: one.name.clone(),
+            version: one.version,
+        });
+        let records = hints.collect();
         self.balancers[index].configure(services, records);
     }
 
@@ -319,13 +330,25 @@
     let mut beat = silent;
     beat.seq += 1;
     let ack = ack(&mut fleet, &beat);
-    assert_eq!(ack.refused, Some(1));
+    assert_eq!(ack.refused.map(|entry| entry.change), Some(1));
     beat.seq += 1;
     beat.member.change = 2;
     assert_eq!(self::ack(&mut fleet, &beat).refused, None);
     assert_eq!(fleet.balancers[0].tables().members().len(), 1);
 }
 
+#[test]
+fn ack_names_the_run_that_must_be_exceeded() {
+    let mut fleet = Fleet::new(1, 1);
+    fleet.run(3);
+    let mut beat = fleet.beats.remove(0);
+    beat.member.incarnation = ident::Incarnation(4);
+    beat.seq = 1;
+    let refused = ack(&mut fleet, &beat).refused;
+    let newest = refused.map(|entry| entry.incarnation);
+    assert_eq!(newest, Some(ident::Incarnation(5)));
+}
+
 fn ack(fleet: &mut Fleet, beat: &exchange::Heartbeat) -> exchange::Ack {
     let datagram = fleet.seal(seal::Kind::Heartbeat, &exchange::encode(beat));
     match fleet.balancers[0].datagram(&fleet.sealer, &datagram, fleet.now) {
@@ -336,8 +359,8 @@
 
 #[parameterized(
     by_name = { exchange::ViewRequest::Service("ledger".to_owned()), Some("ledger"), 2 },
-    by_address = { exchange::ViewRequest::Address(common::service("ledger", 80, 1).service.address), Some("ledger"), 2 },
-    by_moved_address = { exchange::ViewRequest::Address(common::service("sheets", 81, 1).service.address), Some("sheets"), 0 },
+    by_address = { exchange::ViewRequest::Address(common::address(80)), Some("ledger"), 2 },
+    by_moved_address = { exchange::ViewRequest::Address(common::address(81)), Some("sheets"), 0 },
     without_record = { exchange::ViewRequest::Service("photos".to_owned()), None, 0 },
     unknown_address = { exchange::ViewRequest::Address(addr(1)), None, 0 },
 )]
