Reserve slots by need and renew stale estimates

Two traps seen on the way: an unmeasured class borrowed the estimate of the bulk work and was refused for good; a class measured slow was never tried again while bulk work took each free slot. Now an unmeasured class starts from 20 ms, and an estimate older than 1 s lets one request through. Reserve follows the arrivals of the higher classes, only against work more than 4 times as long.

--- a/src/queue.rs
+++ b/src/queue.rs
@@ -26,7 +26,7 @@
 /// Guaranteed shares of the slot time, by class; the first class needs none.
 const SHARES: [f64; CLASSES] = [0.0, 0.10, 0.05];
 
-/// Service time that is assumed before any was measured, in milliseconds.
+/// Service time of a class before any was measured, in milliseconds.
 const INITIAL_SERVICE_MS: f64 = 20.0;
 
 /// Weight of a new sample in the estimates of one class.
@@ -35,17 +35,26 @@
 /// Weight of a new sample in the estimate behind the capacity.
 const CAPACITY_GAIN: f64 = 0.01;
 
-/// Deviations from the mean that a service time may be longer (as in RFC 6298).
-const DEVIATIONS: f64 = 4.0;
+/// Deviations from the mean that a service time may be longer.
+const DEVIATIONS: f64 = 2.0;
 
-/// Time constant over which the use of slots is remembered, in milliseconds.
-const USE_SPAN_MS: f64 = 1_000.0;
+/// Time constant over which arrivals and the use of slots are remembered, in milliseconds.
+const USE_SPAN_MS: f64 = 5_000.0;
 
 /// The least part of the slots that an estimate counts on.
 const MIN_PORTION: f64 = 0.01;
 
-/// How long one slot stays reserved after the last urgent request.
-const RESERVE_SPAN: clock::Millis = clock::Millis(5_000);
+/// Work this many times as long as that of the classes above leaves slots to them.
+const LONG_FACTOR: f64 = 4.0;
+
+/// Age at which an estimate no longer refuses the first request in line, so that it is renewed.
+const PROBE_PERIOD: clock::Millis = clock::Millis(1_000);
+
+/// Slots that are reserved for a class, relative to what its arrivals need on average.
+const RESERVE_FACTOR: f64 = 1.1;
+
+/// The least need of a class that reserves a slot for it, in slots.
+const MIN_NEED: f64 = 0.001;
 
 /// Service times that are needed before a capacity is announced.
 const MIN_SAMPLES: u32 = 16;
@@ -74,7 +83,7 @@
     pub shares: bool,
     /// Deadlines order a line and refuse what cannot finish in time.
     pub deadlines: bool,
-    /// One slot is kept from bulk work while urgent requests arrive.
+    /// Long work of lower classes leaves slots to the arrivals of higher ones.
     pub reserve: bool,
 }
 
@@ -179,6 +188,14 @@
         self.deviation += gain * (error.abs() - self.deviation);
         self.samples = self.samples.saturating_add(1);
     }
+
+    const fn mean_or(&self, initial: f64) -> f64 {
+        if self.samples == 0 {
+            initial
+        } else {
+            self.mean
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -186,8 +203,10 @@
     waiting: VecDeque<Waiting>,
     running: usize,
     service: Estimate,
+    tried_at: clock::Millis,
     credit: f64,
     used: f64,
+    arrived: f64,
 }
 
 /// The slots of one upstream and the requests that wait for them.
@@ -200,7 +219,6 @@
     next: u64,
     service: Estimate,
     used_at: clock::Millis,
-    urgent_at: Option<clock::Millis>,
     step: u8,
     step_at: Option<clock::Millis>,
 }
@@ -217,7 +235,6 @@
             next: 0,
             service: Estimate::default(),
             used_at: clock::Millis(0),
-            urgent_at: None,
             step: 0,
             step_at: None,
         }
@@ -266,11 +283,10 @@
         deadline: clock::Millis,
         now: clock::Millis,
     ) -> Offer {
-        if class == record::Class::Urgent {
-            self.urgent_at = Some(now);
-        }
+        self.decay(now);
         let lane = self.lane(class);
-        if self.lanes[lane].waiting.is_empty() && self.may_start(lane, now) {
+        self.lanes[lane].arrived += 1.0;
+        if self.lanes[lane].waiting.is_empty() && self.may_start(lane) {
             if self.policy.deadlines && deadline <= now {
                 return Offer::Refuse(Refusal::Late);
             }
@@ -281,7 +297,8 @@
             return Offer::Refuse(Refusal::Full);
         }
         let needed = self.expected_wait(lane, deadline) + self.long_service(lane);
-        if self.policy.deadlines && needed > span(deadline, now) {
+        let is_probe = self.lanes[lane].waiting.is_empty() && self.is_stale(lane, now);
+        if self.policy.deadlines && !is_probe && needed > span(deadline, now) {
             return Offer::Refuse(Refusal::Late);
         }
         Offer::Wait(self.push(lane, deadline))
@@ -291,9 +308,10 @@
     ///
     /// Call until it returns `None` whenever a slot has become free.
     pub fn next(&mut self, now: clock::Millis) -> Option<Turn> {
-        let lane = self.pick(now)?;
+        self.decay(now);
+        let lane = self.pick()?;
         let head = self.lanes[lane].waiting.pop_front()?;
-        if self.policy.deadlines && self.long_service(lane) > span(head.deadline, now) {
+        if self.policy.deadlines && !self.may_finish(lane, head.deadline, now) {
             return Some(Turn::Refuse(head.ticket, Refusal::Late));
         }
         self.charge(lane);
@@ -318,6 +336,7 @@
         let service = span(now, started).max(0.5);
         let lane = self.lane(class);
         self.lanes[lane].service.add(service, CLASS_GAIN);
+        self.lanes[lane].tried_at = now;
         self.service.add(service, CAPACITY_GAIN);
         self.release(class, started, now);
     }
@@ -406,25 +425,55 @@
         }
     }
 
-    fn may_start(&self, lane: usize, now: clock::Millis) -> bool {
-        self.running() < self.limits.slots && !self.is_reserved(lane, now)
+    /// Whether a request is worth its slot; one whose estimate is stale renews it.
+    fn may_finish(&mut self, lane: usize, deadline: clock::Millis, now: clock::Millis) -> bool {
+        if self.long_service(lane) <= span(deadline, now) {
+            return true;
+        }
+        let is_probe = deadline > now && self.is_stale(lane, now);
+        if is_probe {
+            self.lanes[lane].tried_at = now;
+        }
+        is_probe
+    }
+
+    fn is_stale(&self, lane: usize, now: clock::Millis) -> bool {
+        now.since(self.lanes[lane].tried_at) >= PROBE_PERIOD
+    }
+
+    fn may_start(&self, lane: usize) -> bool {
+        let lower: usize = self.lanes[lane..].iter().map(|lane| lane.running).sum();
+        self.running() < self.limits.slots && lower < self.open_slots(lane)
+    }
+
+    /// Slots that a class and those below it may hold.
+    fn open_slots(&self, lane: usize) -> usize {
+        let slots = self.limits.slots;
+        if !self.policy.reserve || !self.is_long(lane) {
+            return slots;
+        }
+        let need: f64 = (0..lane).map(|higher| self.need(higher)).sum();
+        let reserved = (1..slots).find(|n| count(*n) >= need * RESERVE_FACTOR);
+        let is_needed = need >= MIN_NEED;
+        if is_needed {
+            slots - reserved.unwrap_or(slots.saturating_sub(1))
+        } else {
+            slots
+        }
+    }
+
+    /// Whether a class holds its slots much longer than those above it.
+    fn is_long(&self, lane: usize) -> bool {
+        (0..lane).any(|higher| self.mean_service(lane) > LONG_FACTOR * self.mean_service(higher))
     }
 
-    /// Whether the last slot is kept from bulk work.
-    fn is_reserved(&self, lane: usize, now: clock::Millis) -> bool {
-        let recent = self
-            .urgent_at
-            .is_some_and(|seen| now.since(seen) < RESERVE_SPAN);
-        self.policy.reserve
-            && recent
-            && lane == record::Class::Bulk as usize
-            && self.limits.slots > 1
-            && self.lanes[lane].running + 1 >= self.limits.slots
+    /// Slots that the arrivals of a class need on average.
+    fn need(&self, lane: usize) -> f64 {
+        self.lanes[lane].arrived * self.mean_service(lane) / USE_SPAN_MS
     }
 
-    fn pick(&self, now: clock::Millis) -> Option<usize> {
-        let ready =
-            |lane: &usize| !self.lanes[*lane].waiting.is_empty() && self.may_start(*lane, now);
+    fn pick(&self) -> Option<usize> {
+        let ready = |lane: &usize| !self.lanes[*lane].waiting.is_empty() && self.may_start(*lane);
         let first = (0..CLASSES).find(ready)?;
         let owed = (first + 1..CLASSES).filter(ready).find(|lane| {
             self.policy.shares && self.lanes[*lane].credit >= self.mean_service(*lane)
@@ -479,20 +528,11 @@
     }
 
     fn mean_running(&self) -> f64 {
-        if self.service.samples == 0 {
-            INITIAL_SERVICE_MS
-        } else {
-            self.service.mean
-        }
+        self.service.mean_or(INITIAL_SERVICE_MS)
     }
 
     fn mean_service(&self, lane: usize) -> f64 {
-        let service = &self.lanes[lane].service;
-        if service.samples == 0 {
-            self.mean_running()
-        } else {
-            service.mean
-        }
+        self.lanes[lane].service.mean_or(INITIAL_SERVICE_MS)
     }
 
     /// A service time that few requests of a class exceed.
@@ -504,6 +544,7 @@
         let factor = (-span(now, self.used_at) / USE_SPAN_MS).exp();
         for lane in &mut self.lanes {
             lane.used *= factor;
+            lane.arrived *= factor;
         }
         self.used_at = self.used_at.max(now);
     }
