--- a/src/admission.rs
+++ b/src/admission.rs
@@ -50,7 +50,7 @@
     /// Waits for a slot; a request that is dropped while it waits leaves the queue.
     pub async fn admit(&self, class: record::Class, deadline: clock::Millis) -> Answer {
         let now = self.clock.now();
-        let (ticket, mut answer) = {
+        let (ticket, mut answer, latest) = {
             let mut state = self.state();
             match state.queue.offer(class, deadline, now) {
                 queue::Offer::Start => return Ok(self.slot(class, now)),
@@ -62,7 +62,11 @@
                         class,
                         answer: sender,
                     });
-                    (ticket, receiver)
+                    (
+                        ticket,
+                        receiver,
+                        state.queue.latest_start(class, deadline, now),
+                    )
                 }
             }
         };
@@ -70,13 +74,18 @@
             admission: self,
             ticket,
         };
-        let end = self.clock.instant(deadline).into();
+        let end = self.clock.instant(latest).into();
         match time::timeout_at(end, &mut answer).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(_)) | Err(_) => Err(queue::Refusal::Late),
         }
     }
 
+    /// Follows an upstream that announces other limits.
+    pub fn set_limits(&self, limits: queue::Limits) {
+        self.free(|queue, _| queue.set_limits(limits));
+    }
+
     /// Takes a connection for a feed.
     pub fn open_feed(&self) -> Result<Feed, queue::Refusal> {
         self.state().queue.open_feed()?;
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -90,6 +90,8 @@
     )
 }
 
-fn from_duration(span: Duration) -> Millis {
+/// Whole milliseconds of the standard library's type.
+#[must_use]
+pub fn from_duration(span: Duration) -> Millis {
     Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -29,9 +29,12 @@
 }
 
 impl Hold {
-    fn complete(self) {
+    /// Frees what is held; only a success says how long the work takes, as
+    /// an upstream that fails fast must not seem strong.
+    fn end(self, is_success: bool) {
         match self {
-            Self::Slot(slot) => slot.complete(),
+            Self::Slot(slot) if is_success => slot.complete(),
+            Self::Slot(slot) => drop(slot),
             Self::Feed(feed) => drop(feed),
         }
     }
@@ -204,7 +207,7 @@
 
     fn failed(&self, failure: Failure, hold: Hold) -> Response<outcome::Body> {
         if failure == Failure::TimedOut {
-            hold.complete();
+            hold.end(true);
         }
         self.unanswered(failure)
     }
@@ -220,7 +223,10 @@
     }
 
     fn answer(self, answer: Answer, hold: Hold) -> Response<outcome::Body> {
-        self.upstream.succeed();
+        let is_success = !answer.response.status().is_server_error();
+        if is_success {
+            self.upstream.succeed();
+        }
         let class = self.treatment.class;
         self.upstream.metrics.end(class, outcome::Outcome::Answered);
         let (mut parts, incoming) = answer.response.into_parts();
@@ -236,6 +242,7 @@
             upstream: Arc::clone(self.upstream),
             connection: answer.connection,
             hold,
+            is_success,
             open: (!self.treatment.feed).then_some(self.open),
             end: (!self.treatment.feed).then_some(self.end),
         };
@@ -264,6 +271,7 @@
     upstream: Arc<relay::Upstream>,
     connection: connection::Connection,
     hold: Hold,
+    is_success: bool,
     open: Option<relay::Open>,
     end: Option<time::Instant>,
 }
@@ -286,14 +294,14 @@
         };
         match moved {
             Ok(()) => {
-                self.hold.complete();
+                self.hold.end(self.is_success);
                 drop(self.open);
                 settle(&self.upstream, self.connection).await;
             }
             Err(Stop::Upstream) => self.upstream.metrics.truncate(),
             Err(Stop::Deadline) => {
                 self.upstream.metrics.truncate();
-                self.hold.complete();
+                self.hold.end(true);
             }
             Err(Stop::Caller) => {}
         }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -13,7 +13,7 @@
 //!
 //! Feeds hold a connection, never a slot.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::{clock, member, record};
 
@@ -388,6 +388,24 @@
         self.step
     }
 
+    /// The last point at which a request that waits is worth a slot.
+    #[must_use]
+    pub fn latest_start(
+        &self,
+        class: record::Class,
+        deadline: clock::Millis,
+        now: clock::Millis,
+    ) -> clock::Millis {
+        let service =
+            Duration::from_secs_f64(self.long_service(self.lane(class)) / MILLIS_PER_SECOND);
+        let latest = deadline - clock::from_duration(service);
+        if self.policy.deadlines && latest > now {
+            latest
+        } else {
+            deadline
+        }
+    }
+
     /// The time that a request would wait for a slot, in milliseconds.
     #[must_use]
     pub fn wait(&self, class: record::Class, deadline: clock::Millis) -> f64 {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -175,7 +175,7 @@
     /// Follows what the upstream announces; running requests stay where they are.
     pub fn set_upstream(&self, address: SocketAddr, limits: queue::Limits) {
         *lock(&self.address) = address;
-        self.admission.with(|queue| queue.set_limits(limits));
+        self.admission.set_limits(limits);
     }
 
     /// The service that is in force.
@@ -229,11 +229,11 @@
         }
     }
 
-    /// Whether no request is read, waits or runs, and no feed is open.
+    /// Whether no flow is open, so that a stop cuts nothing.
     #[must_use]
     pub fn idle(&self) -> bool {
         let counts = self.counts();
-        counts.requests == 0 && counts.running == 0 && counts.feeds == 0
+        counts.flows == 0 && counts.requests == 0 && counts.feeds == 0
     }
 
     /// Adds the relay's metrics to a registry.
@@ -348,7 +348,10 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let _feed = upstream.admission.open_feed().map_err(Error::Refused)?;
-    let mut peer = TcpStream::connect(upstream.address()).await?;
+    let limit = request::limit(upstream.service().deadline);
+    let connecting = TcpStream::connect(upstream.address());
+    let connected = time::timeout(limit.to_duration(), connecting).await;
+    let mut peer = connected.map_err(io::Error::from)??;
     peer.set_nodelay(true)?;
     io::copy_bidirectional(&mut stream, &mut peer).await?;
     Ok(())
--- a/src/request.rs
+++ b/src/request.rs
@@ -16,6 +16,9 @@
 /// The largest body that is kept to be sent again, in bytes.
 pub const MAX_REPLAY: usize = 64 * 1024;
 
+/// The longest deadline.
+const MAX_DEADLINE: clock::Millis = clock::Millis(24 * 60 * 60 * 1_000);
+
 /// Headers that belong to one connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -69,7 +72,7 @@
     now: clock::Millis,
 ) -> Treatment {
     let rule = service.rule(parts.method.as_str(), parts.uri.path());
-    let limit = rule.map_or(service.deadline, |rule| rule.deadline);
+    let limit = limit(rule.map_or(service.deadline, |rule| rule.deadline));
     let asked = parts.headers.get(outcome::DEADLINE).and_then(millis);
     let left = asked.map_or(limit, |asked| asked.min(limit));
     Treatment {
@@ -80,6 +83,12 @@
     }
 }
 
+/// A deadline of a record within what clocks can add.
+#[must_use]
+pub fn limit(deadline: clock::Millis) -> clock::Millis {
+    deadline.min(MAX_DEADLINE)
+}
+
 /// Refuses what could be framed in two ways or leaves HTTP.
 pub fn check(parts: &request::Parts) -> Result<(), StatusCode> {
     let headers = &parts.headers;
--- a/standins/src/bin/standin/upstream.rs
+++ b/standins/src/bin/standin/upstream.rs
@@ -4,7 +4,10 @@
 
 use serde_json::json;
 use standins::upstream;
-use tokio::signal::unix::{self, SignalKind};
+use tokio::{
+    signal::unix::{self, SignalKind},
+    time,
+};
 
 xflags::xflags! {
     /// Runs an upstream.
@@ -35,6 +38,7 @@
 }
 
 const DRAIN_MS: u64 = 60_000;
+const LAST_ANNOUNCEMENT: Duration = Duration::from_secs(2);
 
 pub fn run(args: Vec<OsString>) -> anyhow::Result<()> {
     let flags = Upstream::from_vec(args)?;
@@ -54,7 +58,7 @@
     terminate.recv().await;
     running.drain(drain).await;
     if let Some(announcing) = announcing {
-        announcing.abort();
+        drop(time::timeout(LAST_ANNOUNCEMENT, announcing).await);
     }
     Ok(())
 }
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -1,4 +1,8 @@
 //! An upstream: runs requests in slots, keeps a ledger of what ran, has faults.
+//!
+//! Request headers: `x-request-id` names a request, `x-work-ms` is the time of
+//! its work, `x-answer-bytes` the length of its answer, and `x-chunked` leaves
+//! the length out of the answer's head.
 
 use std::{
     convert::Infallible,
@@ -177,19 +181,25 @@
     Ok(running)
 }
 
-/// Announces an upstream to its agent each second, until it is dropped.
+/// Announces an upstream to its agent each second, until it has ended and said so.
 pub async fn announce(running: Running, agent: SocketAddr) {
     let client = reqwest::Client::new();
     let url = format!("http://{agent}/announce");
     let mut draining = running.state.draining.subscribe();
+    let mut ended = running.state.ended.subscribe();
     loop {
+        let is_last = *ended.borrow_and_update();
         let sending = client.post(&url).json(&running.announcement()).send();
         if let Err(error) = sending.await {
             log::debug!(error:% = error; "announcement failed");
         }
+        if is_last {
+            return;
+        }
         tokio::select! {
             () = time::sleep(ANNOUNCE_PERIOD) => {}
             _ = draining.changed() => {}
+            _ = ended.changed() => {}
         }
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -136,6 +136,12 @@
         .expect("condition holds in time");
 }
 
+/// Whether nothing is read, waits or runs, though flows may rest.
+fn is_quiet(relay: &relay::Upstream) -> bool {
+    let counts = relay.counts();
+    counts.requests == 0 && counts.running == 0 && counts.waiting == 0 && counts.feeds == 0
+}
+
 fn runs(upstream: &upstream::Running, id: &str) -> usize {
     upstream.ledger().iter().filter(|e| e.id == id).count()
 }
@@ -159,7 +165,7 @@
         rig.upstream.connections() <= SLOTS,
         "connections are reused"
     );
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[tokio::test]
@@ -198,7 +204,7 @@
     until(|| runs(&rig.upstream, "id") == 1).await;
     sending.abort();
     until(|| rig.upstream.requests() == 0).await;
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
     assert_eq!(rig.upstream.ledger()[0].ended_ms, None);
     drop(flow.await);
 }
@@ -255,7 +261,7 @@
         text(response).await;
         assert!(runs(&rig.upstream, &id) <= most);
     }
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[parameterized(
@@ -340,16 +346,19 @@
 }
 
 #[parameterized(
-    closed = { upstream::Faults { close_after: Some(100), ..NONE } },
-    silent = { upstream::Faults { silent_after: Some(100), ..NONE } },
+    closed = { upstream::Faults { close_after: Some(100), ..NONE }, "x-other" },
+    silent = { upstream::Faults { silent_after: Some(100), ..NONE }, "x-other" },
+    closed_chunked = { upstream::Faults { close_after: Some(100), ..NONE }, "x-chunked" },
+    silent_chunked = { upstream::Faults { silent_after: Some(100), ..NONE }, "x-chunked" },
 )]
 #[test_macro(tokio::test)]
-async fn truncated_answer_breaks_the_flow(faults: upstream::Faults) {
+async fn truncated_answer_breaks_the_flow(faults: upstream::Faults, coding: &str) {
     let rig = rig(faults).await;
     let (mut client, flow) = client(&rig.relay).await;
     let headers = [
         ("x-answer-bytes", "100000"),
         ("cassiacross-deadline-ms", "400"),
+        (coding, "1"),
     ];
     let response = send(&mut client, get("GET", "/", "id", &headers)).await;
     assert_eq!(response.status(), StatusCode::OK);
@@ -357,7 +366,7 @@
     assert!(body.is_err(), "the body must not seem whole");
     let ended = flow.await.expect("flow does not panic");
     assert!(matches!(ended, Err(relay::Error::Http(_))), "{ended:?}");
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[tokio::test]
@@ -395,6 +404,57 @@
     }
 }
 
+#[parameterized(
+    true_work = { NONE, true },
+    wrong_fast = { upstream::Faults { wrong_fast: true, ..NONE }, false },
+    shed = { upstream::Faults { shed: true, ..NONE }, false },
+)]
+#[test_macro(tokio::test)]
+async fn capacity_is_measured(faults: upstream::Faults, is_measured: bool) {
+    let rig = rig(faults).await;
+    let (mut client, _) = client(&rig.relay).await;
+    for n in 0..30 {
+        text(send(&mut client, get("POST", "/", &n.to_string(), &[])).await).await;
+    }
+    until(|| is_quiet(&rig.relay)).await;
+    assert_eq!(rig.relay.step() > 0, is_measured);
+}
+
+#[tokio::test]
+async fn head_has_length_and_no_body() {
+    let rig = rig(NONE).await;
+    let (mut client, _) = client(&rig.relay).await;
+    for _ in 0..3 {
+        let response = send(&mut client, get("HEAD", "/", "id", &[])).await;
+        assert_eq!(response.headers()[header::CONTENT_LENGTH], "3");
+        assert_eq!(text(response).await, "");
+    }
+}
+
+#[tokio::test]
+async fn more_slots_start_what_waits() {
+    let rig = rig(NONE).await;
+    let limits = |slots| queue::Limits {
+        slots,
+        connections: 40,
+    };
+    rig.relay.set_upstream(rig.upstream.http, limits(1));
+    let mut tasks = Vec::new();
+    for _ in 0..2 {
+        let (mut client, flow) = client(&rig.relay).await;
+        let request = get("POST", "/", "id", &[("x-work-ms", "1000")]);
+        let sending = async move { text(send(&mut client, request).await).await };
+        tasks.push((tokio::spawn(sending), flow));
+    }
+    until(|| rig.relay.counts().waiting == 1).await;
+    rig.relay.set_upstream(rig.upstream.http, limits(2));
+    assert_eq!(rig.relay.counts().waiting, 0);
+    assert_eq!(rig.relay.counts().running, 2);
+    for (task, _) in tasks {
+        assert_eq!(task.await.expect("request ends"), "id\n");
+    }
+}
+
 #[tokio::test]
 async fn feeds_hold_no_slot() {
     let rig = rig(NONE).await;
@@ -447,7 +507,7 @@
     assert!(!feed_flow.is_finished());
     assert!(!rig.relay.idle());
     drop((lines, feed));
-    until(|| rig.relay.idle() && rig.relay.counts().flows == 0).await;
+    until(|| rig.relay.idle()).await;
 }
 
 #[tokio::test]
@@ -577,7 +637,7 @@
     let answered: usize = future::join_all(callers).await.into_iter().sum();
     switching.abort();
     assert!(answered > 0, "some requests are answered");
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 fn random_faults_of(rng: &mut SmallRng) -> upstream::Faults {
