Bound the bodies that are kept for a retry

Each flow could keep 64 KiB before admission; 2,000 flows kept 128 MB. Bodies above 4 KiB are now kept under 256 permits (16 MiB), others stream and are not sent again.

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,7 +8,10 @@
     body::{Body, Incoming},
     http::request::Parts,
 };
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{OwnedSemaphorePermit, mpsc},
+    time,
+};
 
 use crate::{admission, clock, connection, outcome, queue, relay, request};
 
@@ -70,6 +73,7 @@
     upstream: &'a Arc<relay::Upstream>,
     parts: Parts,
     content: request::Content,
+    _permit: Option<OwnedSemaphorePermit>,
     treatment: request::Treatment,
     end: time::Instant,
     open: relay::Open,
@@ -88,8 +92,8 @@
     let now = upstream.clock.now();
     let treatment = request::treatment(&upstream.service(), &parts, now);
     let end = upstream.clock.instant(treatment.deadline).into();
-    let content = match request::read(body, end).await {
-        Ok(content) => content,
+    let (content, permit) = match request::read(body, &upstream.kept, end).await {
+        Ok(read) => read,
         Err(status) => return outcome::rejected(status),
     };
     request::strip(&mut parts.headers);
@@ -98,6 +102,7 @@
         upstream,
         parts,
         content,
+        _permit: permit,
         treatment,
         end,
         open,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -32,7 +32,7 @@
 use tokio::{
     io::{self, AsyncRead, AsyncWrite},
     net::TcpStream,
-    sync::watch,
+    sync::{Semaphore, watch},
     time,
 };
 
@@ -43,6 +43,9 @@
 /// The largest head of a request, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
 
+/// Bodies of up to [`request::MAX_REPLAY`] that are kept at once.
+const MAX_KEPT: usize = 256;
+
 /// How long a flow may rest between requests or take to send a head.
 const HEAD_TIMEOUT: clock::Millis = clock::Millis(300_000);
 
@@ -126,6 +129,7 @@
     pub(crate) admission: admission::Admission,
     pub(crate) retry: Option<Retry>,
     pub(crate) metrics: metrics::Metrics,
+    pub(crate) kept: Arc<Semaphore>,
     address: Mutex<SocketAddr>,
     service: Mutex<Arc<record::Service>>,
     pool: Mutex<connection::Pool>,
@@ -155,6 +159,7 @@
             admission: admission::Admission::new(queue, options.clock),
             retry: options.retry,
             metrics: metrics::Metrics::default(),
+            kept: Arc::new(Semaphore::new(MAX_KEPT)),
             address: Mutex::new(options.address),
             service: Mutex::new(Arc::new(options.service)),
             pool: Mutex::default(),
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,21 +1,29 @@
 //! Requests of callers: checks, rules, headers and bodies.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, BodyStream, Full, StreamBody};
 use hyper::{
     HeaderMap, Method, Request, StatusCode, Version,
-    body::{Frame, Incoming},
+    body::{Body, Frame, Incoming},
     header::{self, HeaderName, HeaderValue},
     http::request,
 };
-use tokio::time;
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time,
+};
 
 use crate::{clock, connection, outcome, record};
 
 /// The largest body that is kept to be sent again, in bytes.
 pub const MAX_REPLAY: usize = 64 * 1024;
 
+/// The largest body that is kept whatever other requests keep, in bytes.
+const SMALL_BODY: u64 = 4 * 1024;
+
 /// The longest deadline.
 const MAX_DEADLINE: clock::Millis = clock::Millis(24 * 60 * 60 * 1_000);
 
@@ -124,11 +132,22 @@
 
 /// Reads a body until its end or until it is too long to be kept.
 ///
-/// Returns the status that the caller gets if the body does not arrive.
-pub async fn read(body: Incoming, end: time::Instant) -> Result<Content, StatusCode> {
-    let reading = time::timeout_at(end, read_start(body)).await;
-    match reading {
-        Ok(Ok(content)) => Ok(content),
+/// A body that may be large is kept only under one of the `permits`, which
+/// bound the memory of all. Returns the status that the caller gets if the body
+/// does not arrive.
+pub async fn read(
+    body: Incoming,
+    permits: &Arc<Semaphore>,
+    end: time::Instant,
+) -> Result<(Content, Option<OwnedSemaphorePermit>), StatusCode> {
+    let is_small = body.size_hint().upper().is_some_and(|n| n <= SMALL_BODY);
+    let permit = Arc::clone(permits).try_acquire_owned().ok();
+    if permit.is_none() && !is_small {
+        return Ok((Content::Partial(Bytes::new(), body), None));
+    }
+    let permit = permit.filter(|_| !is_small);
+    match time::timeout_at(end, read_start(body)).await {
+        Ok(Ok(content)) => Ok((content, permit)),
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -617,6 +617,35 @@
     assert_eq!(rig.relay.counts(), relay::Counts::default());
 }
 
+/// More large bodies than are kept at once: those answered arrived whole.
+#[tokio::test]
+async fn upload_flood() {
+    let rig = rig(NONE).await;
+    let callers = (0..400).map(|n| {
+        let relay = Arc::clone(&rig.relay);
+        async move {
+            let (mut client, _) = client(&relay).await;
+            let mut request = get("POST", "/sheets", &n.to_string(), &[("x-work-ms", "1")]);
+            *request.body_mut() = Full::new(Bytes::from(vec![b'x'; 20_000 + n]));
+            client.ready().await.expect("flow is open");
+            let Ok(response) = client.send_request(request).await else {
+                return 0;
+            };
+            if response.status() != StatusCode::OK {
+                assert_eq!(told(&response).as_deref(), Some("not-run"));
+                return 0;
+            }
+            let received = response.headers()["x-received"].clone();
+            assert_eq!(received, (20_000 + n).to_string());
+            assert_eq!(text(response).await, format!("{n}\n"));
+            1
+        }
+    });
+    let answered: usize = future::join_all(callers).await.into_iter().sum();
+    assert!(answered > SLOTS, "{answered} uploads were answered");
+    until(|| rig.relay.idle()).await;
+}
+
 /// Random faults under concurrent callers: each answer is its caller's own,
 /// nothing told as not run has run, and reports run at most once.
 #[parameterized(
@@ -634,10 +663,15 @@
         }
     });
     let callers = (0..12).map(|caller| call(&rig, caller, seed));
-    let answered: usize = future::join_all(callers).await.into_iter().sum();
+    let tallies = future::join_all(callers).await;
     switching.abort();
-    assert!(answered > 0, "some requests are answered");
+    assert!(tallies.iter().any(|tally| tally.answered > 0));
+    assert!(tallies.iter().any(|tally| !tally.not_run.is_empty()));
     until(|| is_quiet(&rig.relay)).await;
+    until(|| rig.upstream.requests() == 0).await;
+    for id in tallies.iter().flat_map(|tally| &tally.not_run) {
+        assert_eq!(runs(&rig.upstream, id), 0, "{id} was told as not run");
+    }
 }
 
 fn random_faults_of(rng: &mut SmallRng) -> upstream::Faults {
@@ -667,10 +701,17 @@
     }
 }
 
-async fn call(rig: &Rig, caller: u64, seed: u64) -> usize {
+/// What one caller was told.
+#[derive(Default)]
+struct Tally {
+    answered: usize,
+    not_run: Vec<String>,
+}
+
+async fn call(rig: &Rig, caller: u64, seed: u64) -> Tally {
     let mut rng = SmallRng::seed_from_u64(seed * 1_000 + caller);
     let (mut client, _) = client(&rig.relay).await;
-    let mut answered = 0;
+    let mut tally = Tally::default();
     for n in 0..60 {
         let method = if rng.random() { "POST" } else { "GET" };
         let id = format!("{caller}-{n}");
@@ -695,12 +736,13 @@
         assert!(runs(&rig.upstream, &id) <= most, "{id} ran too often");
         if told.as_deref() == Some("not-run") {
             assert_eq!(runs(&rig.upstream, &id), 0, "{id} was told as not run");
+            tally.not_run.push(id.clone());
         }
         if let (StatusCode::OK, Ok(body)) = (status, body) {
             let whole = format!("{id}\n").repeat(50);
             assert_eq!(body.to_bytes(), whole.as_bytes()[..50]);
-            answered += 1;
+            tally.answered += 1;
         }
     }
-    answered
+    tally
 }
