--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -8,7 +8,10 @@
     body::{Body, Incoming},
     http::request::Parts,
 };
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{OwnedSemaphorePermit, mpsc},
+    time,
+};
 
 use crate::{admission, clock, connection, outcome, queue, relay, request};
 
@@ -29,9 +32,12 @@
 }
 
 impl Hold {
-    fn complete(self) {
+    /// Frees what is held; only a success says how long the work takes, as
+    /// an upstream that fails fast must not seem strong.
+    fn end(self, is_success: bool) {
         match self {
-            Self::Slot(slot) => slot.complete(),
+            Self::Slot(slot) if is_success => slot.complete(),
+            Self::Slot(slot) => drop(slot),
             Self::Feed(feed) => drop(feed),
         }
     }
@@ -67,6 +73,7 @@
     upstream: &'a Arc<relay::Upstream>,
     parts: Parts,
     content: request::Content,
+    _permit: Option<OwnedSemaphorePermit>,
     treatment: request::Treatment,
     end: time::Instant,
     open: relay::Open,
@@ -85,8 +92,8 @@
     let now = upstream.clock.now();
     let treatment = request::treatment(&upstream.service(), &parts, now);
     let end = upstream.clock.instant(treatment.deadline).into();
-    let content = match request::read(body, end).await {
-        Ok(content) => content,
+    let (content, permit) = match request::read(body, &upstream.kept, end).await {
+        Ok(read) => read,
         Err(status) => return outcome::rejected(status),
     };
     request::strip(&mut parts.headers);
@@ -95,6 +102,7 @@
         upstream,
         parts,
         content,
+        _permit: permit,
         treatment,
         end,
         open,
@@ -204,7 +212,7 @@
 
     fn failed(&self, failure: Failure, hold: Hold) -> Response<outcome::Body> {
         if failure == Failure::TimedOut {
-            hold.complete();
+            hold.end(true);
         }
         self.unanswered(failure)
     }
@@ -220,7 +228,10 @@
     }
 
     fn answer(self, answer: Answer, hold: Hold) -> Response<outcome::Body> {
-        self.upstream.succeed();
+        let is_success = !answer.response.status().is_server_error();
+        if is_success {
+            self.upstream.succeed();
+        }
         let class = self.treatment.class;
         self.upstream.metrics.end(class, outcome::Outcome::Answered);
         let (mut parts, incoming) = answer.response.into_parts();
@@ -236,6 +247,7 @@
             upstream: Arc::clone(self.upstream),
             connection: answer.connection,
             hold,
+            is_success,
             open: (!self.treatment.feed).then_some(self.open),
             end: (!self.treatment.feed).then_some(self.end),
         };
@@ -264,6 +276,7 @@
     upstream: Arc<relay::Upstream>,
     connection: connection::Connection,
     hold: Hold,
+    is_success: bool,
     open: Option<relay::Open>,
     end: Option<time::Instant>,
 }
@@ -286,14 +299,14 @@
         };
         match moved {
             Ok(()) => {
-                self.hold.complete();
+                self.hold.end(self.is_success);
                 drop(self.open);
                 settle(&self.upstream, self.connection).await;
             }
             Err(Stop::Upstream) => self.upstream.metrics.truncate(),
             Err(Stop::Deadline) => {
                 self.upstream.metrics.truncate();
-                self.hold.complete();
+                self.hold.end(true);
             }
             Err(Stop::Caller) => {}
         }
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -32,7 +32,7 @@
 use tokio::{
     io::{self, AsyncRead, AsyncWrite},
     net::TcpStream,
-    sync::watch,
+    sync::{Semaphore, watch},
     time,
 };
 
@@ -43,6 +43,9 @@
 /// The largest head of a request, in bytes.
 const MAX_HEAD: usize = 64 * 1024;
 
+/// Bodies of up to [`request::MAX_REPLAY`] that are kept at once.
+const MAX_KEPT: usize = 256;
+
 /// How long a flow may rest between requests or take to send a head.
 const HEAD_TIMEOUT: clock::Millis = clock::Millis(300_000);
 
@@ -126,6 +129,7 @@
     pub(crate) admission: admission::Admission,
     pub(crate) retry: Option<Retry>,
     pub(crate) metrics: metrics::Metrics,
+    pub(crate) kept: Arc<Semaphore>,
     address: Mutex<SocketAddr>,
     service: Mutex<Arc<record::Service>>,
     pool: Mutex<connection::Pool>,
@@ -155,6 +159,7 @@
             admission: admission::Admission::new(queue, options.clock),
             retry: options.retry,
             metrics: metrics::Metrics::default(),
+            kept: Arc::new(Semaphore::new(MAX_KEPT)),
             address: Mutex::new(options.address),
             service: Mutex::new(Arc::new(options.service)),
             pool: Mutex::default(),
@@ -175,7 +180,7 @@
     /// Follows what the upstream announces; running requests stay where they are.
     pub fn set_upstream(&self, address: SocketAddr, limits: queue::Limits) {
         *lock(&self.address) = address;
-        self.admission.with(|queue| queue.set_limits(limits));
+        self.admission.set_limits(limits);
     }
 
     /// The service that is in force.
@@ -229,11 +234,11 @@
         }
     }
 
-    /// Whether no request is read, waits or runs, and no feed is open.
+    /// Whether no flow is open, so that a stop cuts nothing.
     #[must_use]
     pub fn idle(&self) -> bool {
         let counts = self.counts();
-        counts.requests == 0 && counts.running == 0 && counts.feeds == 0
+        counts.flows == 0 && counts.requests == 0 && counts.feeds == 0
     }
 
     /// Adds the relay's metrics to a registry.
@@ -348,7 +353,10 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let _feed = upstream.admission.open_feed().map_err(Error::Refused)?;
-    let mut peer = TcpStream::connect(upstream.address()).await?;
+    let limit = request::limit(upstream.service().deadline);
+    let connecting = TcpStream::connect(upstream.address());
+    let connected = time::timeout(limit.to_duration(), connecting).await;
+    let mut peer = connected.map_err(io::Error::from)??;
     peer.set_nodelay(true)?;
     io::copy_bidirectional(&mut stream, &mut peer).await?;
     Ok(())
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -136,6 +136,12 @@
         .expect("condition holds in time");
 }
 
+/// Whether nothing is read, waits or runs, though flows may rest.
+fn is_quiet(relay: &relay::Upstream) -> bool {
+    let counts = relay.counts();
+    counts.requests == 0 && counts.running == 0 && counts.waiting == 0 && counts.feeds == 0
+}
+
 fn runs(upstream: &upstream::Running, id: &str) -> usize {
     upstream.ledger().iter().filter(|e| e.id == id).count()
 }
@@ -159,7 +165,7 @@
         rig.upstream.connections() <= SLOTS,
         "connections are reused"
     );
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[tokio::test]
@@ -198,7 +204,7 @@
     until(|| runs(&rig.upstream, "id") == 1).await;
     sending.abort();
     until(|| rig.upstream.requests() == 0).await;
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
     assert_eq!(rig.upstream.ledger()[0].ended_ms, None);
     drop(flow.await);
 }
@@ -255,7 +261,7 @@
         text(response).await;
         assert!(runs(&rig.upstream, &id) <= most);
     }
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[parameterized(
@@ -340,16 +346,19 @@
 }
 
 #[parameterized(
-    closed = { upstream::Faults { close_after: Some(100), ..NONE } },
-    silent = { upstream::Faults { silent_after: Some(100), ..NONE } },
+    closed = { upstream::Faults { close_after: Some(100), ..NONE }, "x-other" },
+    silent = { upstream::Faults { silent_after: Some(100), ..NONE }, "x-other" },
+    closed_chunked = { upstream::Faults { close_after: Some(100), ..NONE }, "x-chunked" },
+    silent_chunked = { upstream::Faults { silent_after: Some(100), ..NONE }, "x-chunked" },
 )]
 #[test_macro(tokio::test)]
-async fn truncated_answer_breaks_the_flow(faults: upstream::Faults) {
+async fn truncated_answer_breaks_the_flow(faults: upstream::Faults, coding: &str) {
     let rig = rig(faults).await;
     let (mut client, flow) = client(&rig.relay).await;
     let headers = [
         ("x-answer-bytes", "100000"),
         ("cassiacross-deadline-ms", "400"),
+        (coding, "1"),
     ];
     let response = send(&mut client, get("GET", "/", "id", &headers)).await;
     assert_eq!(response.status(), StatusCode::OK);
@@ -357,7 +366,7 @@
     assert!(body.is_err(), "the body must not seem whole");
     let ended = flow.await.expect("flow does not panic");
     assert!(matches!(ended, Err(relay::Error::Http(_))), "{ended:?}");
-    until(|| rig.relay.idle()).await;
+    until(|| is_quiet(&rig.relay)).await;
 }
 
 #[tokio::test]
@@ -395,6 +404,57 @@
     }
 }
 
+#[parameterized(
+    true_work = { NONE, true },
+    wrong_fast = { upstream::Faults { wrong_fast: true, ..NONE }, false },
+    shed = { upstream::Faults { shed: true, ..NONE }, false },
+)]
+#[test_macro(tokio::test)]
+async fn capacity_is_measured(faults: upstream::Faults, is_measured: bool) {
+    let rig = rig(faults).await;
+    let (mut client, _) = client(&rig.relay).await;
+    for n in 0..30 {
+        text(send(&mut client, get("POST", "/", &n.to_string(), &[])).await).await;
+    }
+    until(|| is_quiet(&rig.relay)).await;
+    assert_eq!(rig.relay.step() > 0, is_measured);
+}
+
+#[tokio::test]
+async fn head_has_length_and_no_body() {
+    let rig = rig(NONE).await;
+    let (mut client, _) = client(&rig.relay).await;
+    for _ in 0..3 {
+        let response = send(&mut client, get("HEAD", "/", "id", &[])).await;
+        assert_eq!(response.headers()[header::CONTENT_LENGTH], "3");
+        assert_eq!(text(response).await, "");
+    }
+}
+
+#[tokio::test]
+async fn more_slots_start_what_waits() {
+    let rig = rig(NONE).await;
+    let limits = |slots| queue::Limits {
+        slots,
+        connections: 40,
+    };
+    rig.relay.set_upstream(rig.upstream.http, limits(1));
+    let mut tasks = Vec::new();
+    for _ in 0..2 {
+        let (mut client, flow) = client(&rig.relay).await;
+        let request = get("POST", "/", "id", &[("x-work-ms", "1000")]);
+        let sending = async move { text(send(&mut client, request).await).await };
+        tasks.push((tokio::spawn(sending), flow));
+    }
+    until(|| rig.relay.counts().waiting == 1).await;
+    rig.relay.set_upstream(rig.upstream.http, limits(2));
+    assert_eq!(rig.relay.counts().waiting, 0);
+    assert_eq!(rig.relay.counts().running, 2);
+    for (task, _) in tasks {
+        assert_eq!(task.await.expect("request ends"), "id\n");
+    }
+}
+
 #[tokio::test]
 async fn feeds_hold_no_slot() {
     let rig = rig(NONE).await;
@@ -430,13 +490,16 @@
     assert!(!rig.relay.has_room());
     let response = running.await.expect("request ends");
     let close = response.headers().get(header::CONNECTION);
-    assert_eq!(close.map(|v| v.as_bytes()), Some(&b"close"[..]));
+    assert_eq!(
+        close.map(header::HeaderValue::as_bytes),
+        Some(&b"close"[..])
+    );
     assert_eq!(text(response).await, "busy\n");
     let response = send(&mut resting, get("POST", "/", "after", &[])).await;
     assert_eq!(text(response).await, "after\n");
     for flow in [busy_flow, resting_flow] {
         let ended = time::timeout(LIMIT, flow).await.expect("flow ends");
-        assert!(ended.expect("flow does not panic").is_ok());
+        ended.expect("flow does not panic").expect("flow is whole");
     }
     for _ in 0..3 {
         assert!(lines.frame().await.is_some_and(|frame| frame.is_ok()));
@@ -444,7 +507,7 @@
     assert!(!feed_flow.is_finished());
     assert!(!rig.relay.idle());
     drop((lines, feed));
-    until(|| rig.relay.idle() && rig.relay.counts().flows == 0).await;
+    until(|| rig.relay.idle()).await;
 }
 
 #[tokio::test]
@@ -453,7 +516,7 @@
     let (_client, flow) = client(&rig.relay).await;
     rig.relay.drain();
     let ended = time::timeout(LIMIT, flow).await.expect("flow ends");
-    assert!(ended.expect("flow does not panic").is_ok());
+    ended.expect("flow does not panic").expect("flow is whole");
 }
 
 #[parameterized(
@@ -548,10 +611,41 @@
         .expect("answer is text");
     assert!(answer.ends_with("\r\n\r\nraw\n"), "{answer}");
     near.shutdown().await.expect("flow closes");
-    assert!(flow.await.expect("flow does not panic").is_ok());
+    flow.await
+        .expect("flow does not panic")
+        .expect("flow is whole");
     assert_eq!(rig.relay.counts(), relay::Counts::default());
 }
 
+/// More large bodies than are kept at once: those answered arrived whole.
+#[tokio::test]
+async fn upload_flood() {
+    let rig = rig(NONE).await;
+    let callers = (0..400).map(|n| {
+        let relay = Arc::clone(&rig.relay);
+        async move {
+            let (mut client, _) = client(&relay).await;
+            let mut request = get("POST", "/sheets", &n.to_string(), &[("x-work-ms", "1")]);
+            *request.body_mut() = Full::new(Bytes::from(vec![b'x'; 20_000 + n]));
+            client.ready().await.expect("flow is open");
+            let Ok(response) = client.send_request(request).await else {
+                return 0;
+            };
+            if response.status() != StatusCode::OK {
+                assert_eq!(told(&response).as_deref(), Some("not-run"));
+                return 0;
+            }
+            let received = response.headers()["x-received"].clone();
+            assert_eq!(received, (20_000 + n).to_string());
+            assert_eq!(text(response).await, format!("{n}\n"));
+            1
+        }
+    });
+    let answered: usize = future::join_all(callers).await.into_iter().sum();
+    assert!(answered > SLOTS, "{answered} uploads were answered");
+    until(|| rig.relay.idle()).await;
+}
+
 /// Random faults under concurrent callers: each answer is its caller's own,
 /// nothing told as not run has run, and reports run at most once.
 #[parameterized(
@@ -569,10 +663,15 @@
         }
     });
     let callers = (0..12).map(|caller| call(&rig, caller, seed));
-    let answered: usize = future::join_all(callers).await.into_iter().sum();
+    let tallies = future::join_all(callers).await;
     switching.abort();
-    assert!(answered > 0, "some requests are answered");
-    until(|| rig.relay.idle()).await;
+    assert!(tallies.iter().any(|tally| tally.answered > 0));
+    assert!(tallies.iter().any(|tally| !tally.not_run.is_empty()));
+    until(|| is_quiet(&rig.relay)).await;
+    until(|| rig.upstream.requests() == 0).await;
+    for id in tallies.iter().flat_map(|tally| &tally.not_run) {
+        assert_eq!(runs(&rig.upstream, id), 0, "{id} was told as not run");
+    }
 }
 
 fn random_faults_of(rng: &mut SmallRng) -> upstream::Faults {
@@ -602,10 +701,17 @@
     }
 }
 
-async fn call(rig: &Rig, caller: u64, seed: u64) -> usize {
+/// What one caller was told.
+#[derive(Default)]
+struct Tally {
+    answered: usize,
+    not_run: Vec<String>,
+}
+
+async fn call(rig: &Rig, caller: u64, seed: u64) -> Tally {
     let mut rng = SmallRng::seed_from_u64(seed * 1_000 + caller);
     let (mut client, _) = client(&rig.relay).await;
-    let mut answered = 0;
+    let mut tally = Tally::default();
     for n in 0..60 {
         let method = if rng.random() { "POST" } else { "GET" };
         let id = format!("{caller}-{n}");
@@ -630,12 +736,13 @@
         assert!(runs(&rig.upstream, &id) <= most, "{id} ran too often");
         if told.as_deref() == Some("not-run") {
             assert_eq!(runs(&rig.upstream, &id), 0, "{id} was told as not run");
+            tally.not_run.push(id.clone());
         }
         if let (StatusCode::OK, Ok(body)) = (status, body) {
             let whole = format!("{id}\n").repeat(50);
             assert_eq!(body.to_bytes(), whole.as_bytes()[..50]);
-            answered += 1;
+            tally.answered += 1;
         }
     }
-    answered
+    tally
 }
