Type the answers of the administration API and hold late writes to one effect

Cause: the tool read answers out of bare JSON, and a conflict told by one balancer could be overtaken by another that was still at work: "absent" also fitted a deleted record, so it could become true again. Change: reply.rs holds the typed answers. Expect::Absent now means that there never was such an object; a deleted record is written on top of its version, which the refusal of a read names. The stand-in can carry writes out late. New: writes carried out late take effect once, also with two operators; a platform slower than the time-out is said as not written.

--- a/src/bin/cassiacross/app.rs
+++ b/src/bin/cassiacross/app.rs
@@ -3,13 +3,13 @@
 use std::{fs, path::Path};
 
 use anyhow::Context;
-use cassiacross::{change, config, record};
+use cassiacross::{change, config, record, reply};
 use reqwest::Method;
 use serde_json::{Value, json};
 
 use crate::{
     access,
-    calls::{Calls, Expect, Write},
+    calls::{self, Calls, Expect, Write},
     cli::{Apply, Cassiacross, CassiacrossCmd, Check, Delete},
     failure::Failure,
     lag,
@@ -115,15 +115,15 @@
     }
 
     async fn get(&self, name: &str) -> Result<(), Failure> {
-        let answer = self.read_record(named(name)?).await?;
-        if answer["source"] == "memory" {
+        let found = self.read_record(named(name)?).await?;
+        if found.source == reply::Source::Memory {
             eprintln!("cassiacross: the platform is not available, this is what a balancer knows");
         }
-        print(if self.json {
-            &answer
+        if self.json {
+            print(&json!(found));
         } else {
-            &answer["record"]
-        });
+            print(&found.record);
+        }
         Ok(())
     }
 
@@ -133,8 +133,7 @@
             print(&answer);
             return Ok(());
         }
-        let standings: Vec<config::Standing> =
-            serde_json::from_value(answer).context("the answer cannot be read")?;
+        let standings: Vec<config::Standing> = calls::typed(answer)?;
         for standing in standings {
             let note = match (&standing.fault, standing.deleted) {
                 (Some(fault), _) => format!("  version {} is held: {fault}", standing.seen),
@@ -150,7 +149,7 @@
         let mut asked = Vec::new();
         for addr in self.calls.balancers() {
             let answer = self.calls.read_from(*addr, "/v1/status").await;
-            let status = answer.and_then(|answer| Ok(serde_json::from_value(answer)?));
+            let status = answer.and_then(calls::typed);
             let error = status.as_ref().err().map(|error| format!("{error:#}"));
             asked.push(lag::Asked {
                 addr: addr.to_string(),
@@ -184,7 +183,8 @@
             Failure::Unavailable(_) => undecided(),
             other => other,
         })?;
-        let version = answer["version"].as_u64().ok_or_else(undecided)?;
+        let changed: reply::Changed = calls::typed(answer.clone())?;
+        let version = changed.version.ok_or_else(undecided)?;
         self.tell(
             &answer,
             &format!("accepted, the record is at version {version} or later"),
@@ -209,25 +209,24 @@
             (true, _) => Ok(Expect::Any),
             (false, Some(version)) => Ok(Expect::Version(version)),
             (false, None) => match self.read_record(name).await {
-                Ok(answer) => Ok(Expect::Version(answer["version"].as_u64().unwrap_or(0))),
-                Err(Failure::Missing(_)) => Ok(Expect::Version(0)),
+                Ok(found) => Ok(Expect::Version(found.version)),
+                Err(Failure::Missing(refusal)) => Ok(Expect::Version(refusal.version.unwrap_or(0))),
                 Err(failure) => Err(failure),
             },
         }
     }
 
-    async fn read_record(&self, name: &str) -> Result<Value, Failure> {
+    async fn read_record(&self, name: &str) -> Result<reply::Found, Failure> {
         let path = format!("/records/{name}");
-        self.calls.read(Method::GET, &path, None).await
+        let answer = self.calls.read(Method::GET, &path, None).await?;
+        Ok(calls::typed(answer)?)
     }
 
     async fn record_of(&self, upstream: &str) -> Result<String, Failure> {
         let path = format!("/upstreams/{upstream}");
         let answer = self.calls.read(Method::GET, &path, None).await?;
-        let record = answer["record"]
-            .as_str()
-            .context("the answer cannot be read")?;
-        Ok(record.to_owned())
+        let belongs: reply::Belongs = calls::typed(answer)?;
+        Ok(belongs.record)
     }
 
     fn tell(&self, answer: &Value, text: &str) {
@@ -242,7 +241,7 @@
 fn check_here(check: &Check, json: bool) -> Result<(), Failure> {
     let (name, document) = load(&check.file, check.name.as_deref())?;
     match record::parse(&name, &document) {
-        Ok(_) if json => print(&json!({ "name": name, "faults": [] })),
+        Ok(_) if json => print(&json!(reply::Checked { name })),
         Ok(_) => println!("{name} has no faults"),
         Err(record::Error::Faults(faults)) => {
             let faults = faults.iter().map(ToString::to_string).collect();
--- a/src/bin/cassiacross/calls.rs
+++ b/src/bin/cassiacross/calls.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use anyhow::Context;
-use cassiacross::admin;
+use cassiacross::{admin, reply};
 use reqwest::{Method, StatusCode, header};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::{access, failure::Failure};
@@ -17,7 +18,7 @@
 pub(crate) enum Expect {
     /// Nothing.
     Any,
-    /// A version, 0 for no record.
+    /// A version, 0 where there never was a record.
     Version(u64),
 }
 
@@ -154,18 +155,21 @@
     fn read(self) -> Result<Value, Failure> {
         match self.status {
             status if status.is_success() => Ok(self.body),
-            StatusCode::NOT_FOUND => Err(Failure::Missing(self.error())),
-            StatusCode::UNPROCESSABLE_ENTITY => Err(Failure::Faults(self.faults())),
+            StatusCode::NOT_FOUND => Err(Failure::Missing(self.refusal())),
+            StatusCode::UNPROCESSABLE_ENTITY => Err(Failure::Faults(self.refusal().faults)),
             _ => Err(Failure::Use(anyhow::anyhow!(self.error()))),
         }
     }
 
     fn written(self) -> Result<u64, Failure> {
-        let version = self.body["version"].as_u64().unwrap_or(0);
-        match self.status {
-            StatusCode::PRECONDITION_FAILED => Err(Failure::Conflict { version }),
-            _ => self.read().map(|_| version),
+        let is_conflict = self.status == StatusCode::PRECONDITION_FAILED;
+        let body = if is_conflict { self.body } else { self.read()? };
+        let changed: reply::Changed = typed(body)?;
+        let version = changed.version.unwrap_or(0);
+        if is_conflict {
+            return Err(Failure::Conflict { version });
         }
+        Ok(version)
     }
 
     fn is_decided(&self) -> bool {
@@ -173,19 +177,22 @@
     }
 
     fn error(&self) -> String {
-        match self.body["error"].as_str() {
-            Some(error) => error.to_owned(),
-            None => format!("status {}", self.status),
+        match self.refusal().error {
+            error if error.is_empty() => format!("status {}", self.status),
+            error => error,
         }
     }
 
-    fn faults(&self) -> Vec<String> {
-        let faults = self.body["faults"].as_array();
-        let faults = faults.into_iter().flatten().filter_map(Value::as_str);
-        faults.map(str::to_owned).collect()
+    fn refusal(&self) -> reply::Refusal {
+        serde_json::from_value(self.body.clone()).unwrap_or_default()
     }
 }
 
+/// An answer's body as a typed message.
+pub(crate) fn typed<T: DeserializeOwned>(body: Value) -> anyhow::Result<T> {
+    serde_json::from_value(body).context("the answer cannot be read")
+}
+
 async fn send(request: reqwest::RequestBuilder) -> anyhow::Result<Answer> {
     let response = request.send().await?;
     let status = response.status();
--- a/src/bin/cassiacross/cli.rs
+++ b/src/bin/cassiacross/cli.rs
@@ -38,7 +38,7 @@
             required file: PathBuf
             /// The record's name, if the file has no `name`.
             optional --name name: String
-            /// Writes only on top of this version; 0 where there must be none.
+            /// Writes only on top of this version; 0 where there must never have been one.
             optional --version version: u64
             /// Writes on top of any version.
             optional --force
--- a/src/bin/cassiacross/failure.rs
+++ b/src/bin/cassiacross/failure.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use cassiacross::reply;
 use thiserror::Error;
 
 /// Why a command did not do what it was asked for.
@@ -34,8 +35,8 @@
     #[error("{0} of the processes or records lag")]
     Lag(usize),
     /// There is no such record.
-    #[error("{0}")]
-    Missing(String),
+    #[error("{}", .0.error)]
+    Missing(reply::Refusal),
 }
 
 impl Failure {
--- a/src/change.rs
+++ b/src/change.rs
@@ -23,11 +23,14 @@
 const RECORD: &str = "record";
 
 /// What a change requires of the record before it.
+///
+/// Once `Absent` or a version no longer fits, it never will again: objects are
+/// not removed. So a conflict told by one balancer holds for all.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Expect {
     /// Nothing: the change is tried again on top of others.
     Any,
-    /// There is no such record.
+    /// There never was such a record; a deleted one has a version.
     Absent,
     /// The record has this version.
     Version(u64),
@@ -145,10 +148,9 @@
     if contains(object, request.id) {
         return Step::Done(version);
     }
-    let gone = object.is_none_or(|object| record::is_deleted(record(&object.value)));
     let fits = match request.expect {
         Expect::Any => true,
-        Expect::Absent => gone,
+        Expect::Absent => object.is_none(),
         Expect::Version(expected) => expected == version,
     };
     if !fits {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod packet;
 pub mod platform;
 pub mod record;
+pub mod reply;
 pub mod seal;
 pub mod settings;
 pub mod table;
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -19,6 +19,9 @@
 /// Bytes of the longest value.
 pub const MAX_VALUE_LEN: usize = 1024 * 1024;
 
+/// Delay of writes that are carried out late.
+pub const LATE: Duration = Duration::from_millis(300);
+
 const LOG_LEN: usize = 4_096;
 const REPEATED: usize = 2;
 const MAX_WAIT_MS: u64 = 60_000;
@@ -33,6 +36,8 @@
     pub slow_ms: Option<u64>,
     /// Writes to carry out and leave without an answer.
     pub lose_answers: Option<u64>,
+    /// Writes to leave without an answer and to carry out [`LATE`] afterwards.
+    pub late_writes: Option<u64>,
     /// Whether the platform goes down with the next lost answer.
     pub down_after_loss: Option<bool>,
     /// Whether watches give newer changes first and older ones again.
@@ -72,6 +77,7 @@
     down: bool,
     slow_ms: u64,
     lose_answers: u64,
+    late_writes: u64,
     down_after_loss: bool,
     reorder_watch: bool,
     miss_watch: u64,
@@ -157,6 +163,24 @@
     }
 
     fn write(&self, kind: &str, name: &str, guard: Option<Guard>, value: Option<Value>) -> Answer {
+        if !self.store().take_late() {
+            return self.carry_out(kind, name, guard, value);
+        }
+        let (platform, kind, name) = (self.clone(), kind.to_owned(), name.to_owned());
+        tokio::spawn(async move {
+            time::sleep(LATE).await;
+            drop(platform.carry_out(&kind, &name, guard, value));
+        });
+        Err(io::Error::other("write is late by a fault"))
+    }
+
+    fn carry_out(
+        &self,
+        kind: &str,
+        name: &str,
+        guard: Option<Guard>,
+        value: Option<Value>,
+    ) -> Answer {
         let (answer, revision) = {
             let mut store = self.store();
             let answer = store.write(kind, name, guard, value);
@@ -194,6 +218,7 @@
         self.down = faults.down.unwrap_or(self.down);
         self.slow_ms = faults.slow_ms.unwrap_or(self.slow_ms);
         self.lose_answers = faults.lose_answers.unwrap_or(self.lose_answers);
+        self.late_writes = faults.late_writes.unwrap_or(self.late_writes);
         self.down_after_loss = faults.down_after_loss.unwrap_or(self.down_after_loss);
         self.reorder_watch = faults.reorder_watch.unwrap_or(self.reorder_watch);
         self.miss_watch = faults.miss_watch.unwrap_or(self.miss_watch);
@@ -286,6 +311,12 @@
         }
     }
 
+    fn take_late(&mut self) -> bool {
+        let is_late = self.late_writes > 0;
+        self.late_writes -= u64::from(is_late);
+        is_late
+    }
+
     fn lose(&mut self, answer: Response<Full<Bytes>>) -> Answer {
         if self.lose_answers == 0 || !answer.status().is_success() {
             return Ok(answer);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -150,6 +150,59 @@
     assert_eq!(fixture.stored().await.version, 1);
 }
 
+#[parameterized(
+    repeated_meanwhile = { 1, 1 },
+    overtaken = { 2, 2 },
+)]
+#[test_macro(tokio::test)]
+async fn late_writes_take_effect_once(late: u64, operators: u64) {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"late_writes": late})).await;
+    let ids: Vec<_> = (0..operators)
+        .map(|index| format!("ledger~{index}"))
+        .collect();
+    let changes = ids
+        .iter()
+        .map(|id| fixture.change(id, change::Expect::Any, 80));
+    for outcome in futures_util::future::join_all(changes).await {
+        assert!(
+            matches!(outcome, change::Outcome::Accepted(_)),
+            "{outcome:?}"
+        );
+    }
+    time::sleep(2 * standins::platform::LATE).await;
+    let stored = fixture.stored().await;
+    let mut kept: Vec<_> = change::ids(&stored.value).collect();
+    kept.sort_unstable();
+    assert_eq!(kept, ids);
+    assert_eq!(stored.version, operators);
+}
+
+#[tokio::test]
+async fn platform_too_slow_is_said_as_not_written() {
+    let fixture = Fixture::start().await;
+    let slow = platform::TIMEOUT.0 * 2;
+    fixture.faults(json!({"slow_ms": slow})).await;
+    let request = change::Request {
+        name: "ledger",
+        id: "ledger~1",
+        expect: change::Expect::Any,
+    };
+    let edit = |_: Option<&Value>| Ok::<_, Infallible>(document(80));
+    let outcome =
+        change::commit(&fixture.client, &request, edit, backoff::Backoff::new(1, 1)).await;
+    assert!(
+        matches!(outcome, Err(change::Error::Unavailable(_))),
+        "{outcome:?}"
+    );
+    fixture.faults(json!({"slow_ms": 0})).await;
+    let asked = change::ask(&fixture.client, "ledger", "ledger~1").await;
+    assert_eq!(
+        asked.expect("platform is there"),
+        change::Outcome::Undecided
+    );
+}
+
 #[tokio::test]
 async fn outage_before_a_write_is_said_as_not_written() {
     let fixture = Fixture::start().await;
