--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod queue;
 pub mod record;
 pub mod relay;
+pub mod reply;
 pub mod request;
 pub mod reset;
 pub mod seal;
