--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock,
     exchange::{self, Action},
-    forward, member, membership, record, seal, table,
+    forward, gossip, member, membership, record, seal, table,
 };
 
 /// Why a sealed datagram was dropped.
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub struct Balancer {
     tables: membership::Tables,
-    gossip: exchange::Gossip,
+    gossip: gossip::Gossip,
     services: Vec<exchange::Versioned>,
     records: Vec<exchange::Hint>,
     routes: Arc<forward::Routes>,
@@ -61,7 +61,7 @@
     ) -> Self {
         Self {
             tables: membership::Tables::new(me, timing, now),
-            gossip: exchange::Gossip::new(seed),
+            gossip: gossip::Gossip::new(seed),
             services: Vec::new(),
             records: Vec::new(),
             routes: Arc::default(),
@@ -104,7 +104,7 @@
     pub fn configure(&mut self, services: Vec<exchange::Versioned>, records: Vec<exchange::Hint>) {
         for hint in &records {
             if self.records.binary_search(hint).is_err() {
-                self.gossip.note(exchange::Topic::Record(hint.name.clone()));
+                self.gossip.note(gossip::Topic::Record(hint.name.clone()));
             }
         }
         self.services = services;
@@ -157,7 +157,7 @@
     pub fn leave(&mut self) {
         self.tables.leave();
         self.gossip
-            .note(exchange::Topic::Balancer(self.tables.own().node));
+            .note(gossip::Topic::Balancer(self.tables.own().node));
     }
 
     /// Answers an agent that asks for a view.
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -13,7 +13,7 @@
 };
 
 use anyhow::Context;
-use cassiacross::{balancer, clock, exchange, ident, member, membership, settings};
+use cassiacross::{balancer, clock, gossip, ident, member, membership, settings};
 use serde::Serialize;
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -92,7 +92,7 @@
 
     let stop = Arc::new(AtomicBool::new(false));
     let forwarder = spawn_forwarder(packets, &shared, &stop)?;
-    let rounds = u32::try_from(exchange::ROUNDS)?;
+    let rounds = u32::try_from(gossip::ROUNDS)?;
     tokio::spawn(control::run(
         control,
         shared.clone(),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -1,35 +1,15 @@
-//! Messages between agents and balancers, and the rules that spread changes.
-//!
-//! Changed entries are rumours: each process repeats one for a bounded number
-//! of rounds to a few random peers (Demers et al., "Epidemic algorithms for
-//! replicated database maintenance", 1987). Digests find what rumours missed;
-//! a difference that lasts is mended by a full sync over HTTP.
+//! Messages between agents and balancers, and the answers to them.
 
 use std::net::SocketAddrV4;
 
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{clock, ident, member, membership, record, seal};
+use crate::{clock, ident, member, membership, record};
 
 /// Longest datagram, with its seal.
 pub const MAX_DATAGRAM: usize = 1_200;
 
-/// Peers that each round of rumours goes to.
-pub const FANOUT: usize = 3;
-
-/// Rounds of one period; rumours go out in each, digests once a period.
-pub const ROUNDS: u64 = 4;
-
-const ENTRY_ROUNDS: u8 = 3;
-const LINE_ROUNDS: u8 = 1;
-const MAX_RUMOURS: usize = 8_192;
-const MAX_DATAGRAMS: usize = 4;
-const LENGTH_BYTES: usize = 16;
-const STALE_PEER_ODDS: f64 = 0.1;
-const MISMATCH_PERIODS: u64 = 2;
-const SYNC_PERIODS: u64 = 5;
 const MAX_PULL: usize = 256;
 
 /// What an agent sends to each of its watchers once a period.
@@ -182,365 +162,6 @@
     },
 }
 
-/// What a rumour is about.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Topic {
-    /// A balancer's line.
-    Line(ident::NodeId),
-    /// An agent's entry.
-    Member(ident::NodeId),
-    /// A balancer's entry.
-    Balancer(ident::NodeId),
-    /// A record's version.
-    Record(String),
-}
-
-#[derive(Clone, Debug)]
-struct Rumour {
-    topic: Topic,
-    rounds: u8,
-}
-
-/// Rumours that one balancer still repeats, and what it saw of its peers' digests.
-#[derive(Clone, Debug)]
-pub struct Gossip {
-    rng: SmallRng,
-    rumours: Vec<Rumour>,
-    round: u64,
-    differs: Option<clock::Millis>,
-    asked: Option<clock::Millis>,
-}
-
-impl Gossip {
-    /// Starts without rumours; `seed` decides on the choice of peers.
-    #[must_use]
-    pub fn new(seed: u64) -> Self {
-        Self {
-            rng: SmallRng::seed_from_u64(seed),
-            rumours: Vec::new(),
-            round: 0,
-            differs: None,
-            asked: None,
-        }
-    }
-
-    /// Starts a rumour, or starts it anew.
-    pub fn note(&mut self, topic: Topic) {
-        let rounds = match topic {
-            Topic::Line(_) => LINE_ROUNDS,
-            _ => ENTRY_ROUNDS,
-        };
-        match self
-            .rumours
-            .binary_search_by(|rumour| rumour.topic.cmp(&topic))
-        {
-            Ok(at) => self.rumours[at].rounds = rounds,
-            Err(_) if self.rumours.len() >= MAX_RUMOURS => {}
-            Err(at) => self.rumours.insert(at, Rumour { topic, rounds }),
-        }
-    }
-
-    /// Rumours that are still repeated.
-    #[must_use]
-    pub const fn pending(&self) -> usize {
-        self.rumours.len()
-    }
-
-    /// Takes a heartbeat and gives the answer; `None` if it was seen before.
-    pub fn heartbeat(
-        &mut self,
-        tables: &mut membership::Tables,
-        beat: &Heartbeat,
-        services: &[Versioned],
-        now: clock::Millis,
-    ) -> Option<Ack> {
-        let node = beat.member.node;
-        let merge = tables.beat(&beat.member, beat.seq, now)?;
-        if merge == membership::Merge::Taken {
-            self.note(Topic::Member(node));
-        }
-        let refused = (merge == membership::Merge::Refused)
-            .then(|| tables.newest(node))
-            .flatten();
-        let service = &beat.member.service;
-        Some(Ack {
-            balancer: tables.own().node,
-            incarnation: tables.own().incarnation,
-            seq: beat.seq,
-            digest: tables.view_digest(service, version_of(services, service), now),
-            version: highest(services),
-            refused,
-        })
-    }
-
-    /// Takes a peer's datagram; `records` are those in force here, sorted by name.
-    pub fn receive(
-        &mut self,
-        tables: &mut membership::Tables,
-        exchange: &Exchange,
-        records: &[Hint],
-        now: clock::Millis,
-    ) -> Vec<Action> {
-        let from = std::slice::from_ref(&exchange.from);
-        self.merge(tables, from, &exchange.balancers, now);
-        self.merge_lines(tables, &exchange.lines, now);
-        self.merge_members(tables, &exchange.members, now);
-        self.compare(tables, exchange, records, now);
-        let mut actions = pull(&exchange.hints, records, exchange.from.http);
-        actions.extend(self.ask(tables, exchange.from.http, now));
-        actions
-    }
-
-    /// Takes the entry of a balancer that asks for a sync.
-    pub fn welcome(
-        &mut self,
-        tables: &mut membership::Tables,
-        from: &member::Balancer,
-        now: clock::Millis,
-    ) {
-        self.merge(tables, std::slice::from_ref(from), &[], now);
-    }
-
-    /// Takes a peer's answer to a sync, from its HTTP address.
-    pub fn absorb(
-        &mut self,
-        tables: &mut membership::Tables,
-        sync: &Sync,
-        records: &[Hint],
-        from: SocketAddrV4,
-        now: clock::Millis,
-    ) -> Vec<Action> {
-        self.merge(tables, &[], &sync.balancers, now);
-        for stone in &sync.tombstones {
-            tables.merge_tombstone(stone, now);
-        }
-        self.merge_members(tables, &sync.members, now);
-        let joining = !tables.is_synced();
-        for line in &sync.lines {
-            tables.merge_line(line, now);
-            if joining {
-                tables.trust_line(line.balancer, now);
-            }
-        }
-        tables.synced(now);
-        pull(&sync.hints, records, from)
-    }
-
-    /// Runs one of the [`ROUNDS`] of a period: brings the tables up to `now`
-    /// and gives the datagrams to send.
-    pub fn tick(
-        &mut self,
-        tables: &mut membership::Tables,
-        records: &[Hint],
-        now: clock::Millis,
-    ) -> Vec<Action> {
-        if tables.tick(now) {
-            self.note(Topic::Line(tables.own().node));
-        }
-        self.round += 1;
-        if self.rumours.is_empty() && !self.round.is_multiple_of(ROUNDS) {
-            return Vec::new();
-        }
-        let peers = self.peers(tables, now);
-        if peers.is_empty() {
-            self.rumours.clear();
-            return Vec::new();
-        }
-        let bodies = self.bodies(tables, records);
-        peers
-            .iter()
-            .flat_map(|to| {
-                bodies.iter().map(|body| Action::Send {
-                    to: *to,
-                    body: body.clone(),
-                })
-            })
-            .collect()
-    }
-
-    fn merge(
-        &mut self,
-        tables: &mut membership::Tables,
-        from: &[member::Balancer],
-        balancers: &[member::Balancer],
-        now: clock::Millis,
-    ) {
-        for balancer in from.iter().chain(balancers) {
-            if tables.merge_balancer(balancer, now) == membership::Merge::Taken {
-                self.note(Topic::Balancer(balancer.node));
-            }
-        }
-    }
-
-    fn merge_lines(
-        &mut self,
-        tables: &mut membership::Tables,
-        lines: &[membership::Line],
-        now: clock::Millis,
-    ) {
-        for line in lines {
-            if tables.merge_line(line, now) == membership::Merge::Taken {
-                self.note(Topic::Line(line.balancer));
-            }
-        }
-    }
-
-    fn merge_members(
-        &mut self,
-        tables: &mut membership::Tables,
-        members: &[member::Member],
-        now: clock::Millis,
-    ) {
-        for member in members {
-            if tables.merge_member(member, now) == membership::Merge::Taken {
-                self.note(Topic::Member(member.node));
-            }
-        }
-    }
-
-    fn compare(
-        &mut self,
-        tables: &membership::Tables,
-        exchange: &Exchange,
-        records: &[Hint],
-        now: clock::Millis,
-    ) {
-        if digests(tables, records) == exchange.digests {
-            self.differs = None;
-        } else {
-            self.differs.get_or_insert(now);
-        }
-    }
-
-    fn ask(
-        &mut self,
-        tables: &membership::Tables,
-        from: SocketAddrV4,
-        now: clock::Millis,
-    ) -> Option<Action> {
-        let period = tables.timing().period.0;
-        let lasts = self
-            .differs
-            .is_some_and(|at| now.since(at).0 >= MISMATCH_PERIODS * period);
-        let asked_lately = self
-            .asked
-            .is_some_and(|at| now.since(at).0 < SYNC_PERIODS * period);
-        if !lasts || asked_lately {
-            return None;
-        }
-        self.asked = Some(now);
-        self.differs = None;
-        Some(Action::Sync { from })
-    }
-
-    fn peers(&mut self, tables: &membership::Tables, now: clock::Millis) -> Vec<SocketAddrV4> {
-        let me = tables.own().node;
-        let (live, stale): (Vec<_>, Vec<_>) = tables
-            .balancers()
-            .iter()
-            .filter(|row| row.balancer.node != me)
-            .partition(|row| row.is_live(tables.timing(), now));
-        let mut peers: Vec<_> = live
-            .choose_multiple(&mut self.rng, FANOUT)
-            .map(|row| row.balancer.control)
-            .collect();
-        // A network that was cut heals only if somebody still tries the other side.
-        if peers.is_empty() || self.rng.random_bool(STALE_PEER_ODDS) {
-            let other = stale.choose(&mut self.rng);
-            peers.extend(other.map(|row| row.balancer.control));
-        }
-        peers
-    }
-
-    fn bodies(&mut self, tables: &membership::Tables, records: &[Hint]) -> Vec<Vec<u8>> {
-        let mut packer = Packer::new(tables, records);
-        for rumour in &mut self.rumours {
-            if !packer.push(&rumour.topic, tables, records) {
-                break;
-            }
-            rumour.rounds -= 1;
-        }
-        self.rumours.retain(|rumour| rumour.rounds > 0);
-        packer.finish()
-    }
-}
-
-/// Fills datagrams up to [`MAX_DATAGRAM`].
-struct Packer {
-    empty: Exchange,
-    base: usize,
-    len: usize,
-    current: Exchange,
-    bodies: Vec<Vec<u8>>,
-}
-
-impl Packer {
-    fn new(tables: &membership::Tables, records: &[Hint]) -> Self {
-        let empty = Exchange {
-            from: tables.own().clone(),
-            digests: digests(tables, records),
-            lines: Vec::new(),
-            members: Vec::new(),
-            balancers: Vec::new(),
-            hints: Vec::new(),
-        };
-        let base = encode(&empty).len() + seal::OVERHEAD + LENGTH_BYTES;
-        Self {
-            current: empty.clone(),
-            empty,
-            base,
-            len: base,
-            bodies: Vec::new(),
-        }
-    }
-
-    /// Adds what a rumour is about; false where all datagrams are full.
-    fn push(&mut self, topic: &Topic, tables: &membership::Tables, records: &[Hint]) -> bool {
-        match topic {
-            Topic::Member(node) => tables.member(*node).is_none_or(|row| {
-                self.reserve(&row.member) && push(&mut self.current.members, &row.member)
-            }),
-            Topic::Balancer(node) => tables.balancer(*node).is_none_or(|row| {
-                self.reserve(&row.balancer) && push(&mut self.current.balancers, &row.balancer)
-            }),
-            Topic::Line(node) => tables
-                .balancer(*node)
-                .and_then(|row| row.line.as_ref())
-                .is_none_or(|line| self.reserve(line) && push(&mut self.current.lines, line)),
-            Topic::Record(name) => find(records, name)
-                .is_none_or(|hint| self.reserve(hint) && push(&mut self.current.hints, hint)),
-        }
-    }
-
-    fn reserve<T: Serialize>(&mut self, item: &T) -> bool {
-        let len = encode(item).len();
-        if self.len + len > MAX_DATAGRAM {
-            if self.bodies.len() + 1 >= MAX_DATAGRAMS {
-                return false;
-            }
-            self.flush();
-        }
-        self.len += len;
-        true
-    }
-
-    fn flush(&mut self) {
-        let full = std::mem::replace(&mut self.current, self.empty.clone());
-        self.bodies.push(encode(&full));
-        self.len = self.base;
-    }
-
-    fn finish(mut self) -> Vec<Vec<u8>> {
-        self.flush();
-        self.bodies
-    }
-}
-
-fn push<T: Clone>(items: &mut Vec<T>, item: &T) -> bool {
-    items.push(item.clone());
-    true
-}
-
 /// Digests of all tables.
 #[must_use]
 pub fn digests(tables: &membership::Tables, records: &[Hint]) -> Digests {
@@ -635,7 +256,7 @@
 }
 
 /// The records that are newer at a peer than here.
-fn pull(hints: &[Hint], records: &[Hint], from: SocketAddrV4) -> Vec<Action> {
+pub(crate) fn pull(hints: &[Hint], records: &[Hint], from: SocketAddrV4) -> Vec<Action> {
     let mut names: Vec<_> = hints
         .iter()
         .filter(|hint| find(records, &hint.name).is_none_or(|own| own.version < hint.version))
@@ -650,7 +271,7 @@
     vec![Action::PullRecords { from, names }]
 }
 
-fn find<'a>(records: &'a [Hint], name: &str) -> Option<&'a Hint> {
+pub(crate) fn find<'a>(records: &'a [Hint], name: &str) -> Option<&'a Hint> {
     records
         .binary_search_by(|hint| hint.name.as_str().cmp(name))
         .ok()
@@ -664,11 +285,11 @@
         .map(|at| &services[at])
 }
 
-fn version_of(services: &[Versioned], name: &str) -> u64 {
+pub(crate) fn version_of(services: &[Versioned], name: &str) -> u64 {
     find_service(services, name).map_or(0, |found| found.version)
 }
 
-fn highest(services: &[Versioned]) -> u64 {
+pub(crate) fn highest(services: &[Versioned]) -> u64 {
     services
         .iter()
         .map(|versioned| versioned.version)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod exchange;
 pub mod forward;
+pub mod gossip;
 pub mod gue;
 pub mod header;
 pub mod ident;
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddrV4;
 
 use cassiacross::{
-    balancer, clock, exchange, ident, member,
+    balancer, clock, exchange, gossip, ident, member,
     membership::{self, Liveness},
     seal,
 };
@@ -64,8 +64,8 @@
     fn run(&mut self, periods: u64) {
         for _ in 0..periods {
             self.beat();
-            for _ in 0..exchange::ROUNDS {
-                self.now = self.now + clock::Millis(common::PERIOD.0 / exchange::ROUNDS);
+            for _ in 0..gossip::ROUNDS {
+                self.now = self.now + clock::Millis(common::PERIOD.0 / gossip::ROUNDS);
                 self.round();
             }
         }
