--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -14,7 +14,7 @@
 
 use anyhow::Context;
 use cassiacross::{
-    admin, balancer, clock, exchange, ident, member, membership, platform, settings, udp,
+    admin, balancer, clock, gossip, ident, member, membership, platform, settings, udp,
 };
 use serde::Serialize;
 use tokio::{
@@ -95,7 +95,7 @@
 
     let stop = Arc::new(AtomicBool::new(false));
     let forwarder = spawn_forwarder(packets, &shared, &stop)?;
-    let rounds = u32::try_from(exchange::ROUNDS)?;
+    let rounds = u32::try_from(gossip::ROUNDS)?;
     tokio::spawn(control::run(
         control,
         shared.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fields;
 pub mod flow;
 pub mod forward;
+pub mod gossip;
 pub mod gue;
 pub mod header;
 pub mod ident;
