--- a/src/relay.rs
+++ b/src/relay.rs
@@ -331,17 +331,12 @@
 }
 
 /// Runs a request, and ends its flow while the agent drains.
-///
-/// Chunked requests end it too: hyper drops a `content-length` beside
-/// `transfer-encoding` unseen, and what follows such a request must not be read
-/// as another (RFC 9112, section 6.1).
 async fn handle(
     upstream: Arc<Upstream>,
     request: Request<Incoming>,
 ) -> Result<Response<outcome::Body>, Infallible> {
-    let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = exchange::run(&upstream, request).await;
-    if is_chunked || upstream.is_draining() {
+    if upstream.is_draining() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -373,9 +373,12 @@
     let text = body_text(&parts.headers);
     let len = text.len();
     let mut response = Response::new(faulty_body(text, faults, open).await?);
-    response
-        .headers_mut()
-        .insert(header::CONTENT_LENGTH, len.into());
+    if !parts.headers.contains_key("x-chunked") {
+        let length = len.into();
+        response
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, length);
+    }
     state.name(response.headers_mut(), &parts.headers);
     response.headers_mut().insert("x-received", received.into());
     Ok(response)
