--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -311,13 +311,11 @@
     pub async fn operator(&self, args: &[&str]) -> Result<String, Error> {
         let balancer = self.balancers.last();
         let balancer = balancer.ok_or_else(|| Error::Name("balancer".to_owned()))?;
-        let url = format!("http://{}", balancer.addr.http);
-        let mut all: Vec<OsString> = ["--balancer", &url, "--token", OPERATOR_TOKEN]
-            .into_iter()
-            .map(OsString::from)
-            .collect();
+        let mut all: Vec<OsString> = vec!["--balancer".into()];
+        all.push(balancer.addr.http.to_string().into());
         all.extend(args.iter().map(OsString::from));
-        let output = process::output(Program::Operator, all).await?;
+        let variables = [("CASSIACROSS_TOKEN", OPERATOR_TOKEN)];
+        let output = process::output(Program::Operator, all, &variables).await?;
         if output.status.success() {
             return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
         }
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -206,8 +206,12 @@
     }
 }
 
-/// Runs a program to its end and gives what it wrote.
-pub async fn output(program: Program, args: Vec<OsString>) -> Result<std::process::Output, Error> {
+/// Runs a program to its end, with variables of its environment, and gives what it wrote.
+pub async fn output(
+    program: Program,
+    args: Vec<OsString>,
+    variables: &[(&str, &str)],
+) -> Result<std::process::Output, Error> {
     let name = file_name(program);
     let system = move |source| Error::System {
         name: name.to_owned(),
@@ -215,6 +219,7 @@
     };
     let mut command = Command::new(path(program)?);
     command.args(args).stdin(Stdio::null());
+    command.envs(variables.iter().copied());
     tokio::task::spawn_blocking(move || command.output())
         .await
         .map_err(|error| system(io::Error::other(error)))?
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -95,9 +95,7 @@
 
 async fn drain_upstream(fleet: &Fleet) -> anyhow::Result<()> {
     let upstream = &fleet.upstreams[fleet.upstreams.len() - 1];
-    fleet
-        .operator(&["drain", &upstream.plan.service, &upstream.name])
-        .await?;
+    fleet.operator(&["drain", &upstream.name]).await?;
     println!("      {} drains", upstream.name);
     Ok(())
 }
