Mend the balancer's state dump, which waited for a lock that it held

Cause: the dump held the balancer's tables while it asked whether the balancer is ready, and readiness took the same lock to look for records. Seen as tests of the real binary that never ended. Ruled out: the platform client, whose refusals return at once. Change: readiness reads a flag that applying records sets. Two cases are new: without platform and peer /ready says what it waits for, and one peer with records is enough. The other cases now start beside a platform without records, since a balancer without any is not ready.

--- a/src/bin/cassiacross-balancer/configuration.rs
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -25,7 +25,7 @@
             shared.apply(&documents);
         }
         if watch.has_listed() {
-            shared.set_listed();
+            shared.set_configured();
         }
     }
 }
--- a/src/bin/cassiacross-balancer/shared.rs
+++ b/src/bin/cassiacross-balancer/shared.rs
@@ -20,7 +20,7 @@
     routes: RwLock<Arc<forward::Routes>>,
     generation: AtomicU64,
     joined: AtomicBool,
-    listed: AtomicBool,
+    configured: AtomicBool,
     leaving: AtomicBool,
     clock: clock::Clock,
     settings: settings::Balancer,
@@ -41,7 +41,7 @@
             routes: RwLock::default(),
             generation: AtomicU64::new(0),
             joined: AtomicBool::new(false),
-            listed: AtomicBool::new(false),
+            configured: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             clock,
             sealer: seal::Sealer::new(&settings.common.fleet_key),
@@ -78,6 +78,7 @@
         if changed {
             let (services, hints) = (exchange::versioned(&records), exchange::hints(&records));
             self.balancer().configure(services, hints);
+            self.set_configured();
         }
     }
 
@@ -132,12 +133,12 @@
 
     /// Whether records are known, or known to be none.
     pub(crate) fn is_configured(&self) -> bool {
-        self.0.listed.load(Ordering::Relaxed) || !self.balancer().records().is_empty()
+        self.0.configured.load(Ordering::Relaxed)
     }
 
-    /// States that the platform has listed its records.
-    pub(crate) fn set_listed(&self) {
-        self.0.listed.store(true, Ordering::Relaxed);
+    /// States that records are known, or known to be none.
+    pub(crate) fn set_configured(&self) {
+        self.0.configured.store(true, Ordering::Relaxed);
     }
 
     /// Whether the stop has started.
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::{BufRead, BufReader, Write},
-    net::{SocketAddrV4, UdpSocket},
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
     process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
@@ -34,8 +34,15 @@
 }
 
 impl Daemon {
+    /// Starts a daemon beside a platform without records, and waits until it is ready.
     fn start(name: &str, seeds: &[SocketAddrV4]) -> Self {
-        let settings = settings(name, seeds);
+        let daemon = Self::spawn(name, seeds, platform());
+        daemon.wait_until("ready", || daemon.status("ready") == 200);
+        daemon
+    }
+
+    fn spawn(name: &str, seeds: &[SocketAddrV4], platform: SocketAddr) -> Self {
+        let settings = settings(name, seeds, platform);
         let mut child = Command::new(env!("CARGO_BIN_EXE_cassiacross-balancer"))
             .args(["run", "--settings"])
             .arg(settings.path())
@@ -49,13 +56,11 @@
             .expect("the daemon prints a line");
         let bound = serde_json::from_str(&line).expect("the line is JSON");
         let client = Client::new();
-        let daemon = Self {
+        Self {
             child,
             bound,
             client,
-        };
-        daemon.wait_until("ready", || daemon.status("ready") == 200);
-        daemon
+        }
     }
 
     fn status(&self, path: &str) -> u16 {
@@ -109,11 +114,31 @@
     }
 }
 
-fn settings(name: &str, seeds: &[SocketAddrV4]) -> tempfile::NamedTempFile {
+/// A platform without records, for the rest of the process.
+fn platform() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener
+        .set_nonblocking(true)
+        .expect("the socket can be set");
+    let addr = listener.local_addr().expect("the socket is bound");
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime can be made");
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            standins::platform::serve(listener).await
+        })
+    });
+    addr
+}
+
+fn settings(name: &str, seeds: &[SocketAddrV4], platform: SocketAddr) -> tempfile::NamedTempFile {
     let any = "127.0.0.1:0";
     let text = serde_json::json!({
         "name": name, "domain": "valley-a", "packets": any, "control": any, "http": any,
-        "seeds": seeds, "platform": "http://127.0.0.1:9", "period_ms": 50,
+        "seeds": seeds, "platform": format!("http://{platform}"), "period_ms": 50,
         "fleet_key": KEY, "operator_token": TOKEN,
     });
     let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
@@ -471,7 +496,7 @@
 
 #[test]
 fn settings_with_faults_stop_the_daemon() {
-    let settings = settings(&"x".repeat(65), &[]);
+    let settings = settings(&"x".repeat(65), &[], platform());
     let output = Command::new(env!("CARGO_BIN_EXE_cassiacross-balancer"))
         .args(["check-settings", "--settings"])
         .arg(settings.path())
@@ -480,3 +505,21 @@
     assert!(!output.status.success());
     assert!(String::from_utf8_lossy(&output.stderr).contains("64 bytes"));
 }
+
+#[test]
+fn without_platform_and_peer_it_says_what_it_waits_for() {
+    let dead = SocketAddr::from(([127, 0, 0, 1], 9));
+    let daemon = Daemon::spawn("balancer-1", &[], dead);
+    daemon.wait_until("the wait for records", || {
+        let (status, text) = daemon.client.get(daemon.bound.http, "ready");
+        assert_eq!(status, 503);
+        text.contains("waits for records")
+    });
+}
+
+#[test]
+fn without_platform_one_peer_with_records_is_enough() {
+    let dead = SocketAddr::from(([127, 0, 0, 1], 9));
+    let daemon = Daemon::spawn("balancer-1", &[seed()], dead);
+    daemon.wait_until("ready", || daemon.status("ready") == 200);
+}
