--- a/src/bin/cassiacross-balancer/peers.rs
+++ b/src/bin/cassiacross-balancer/peers.rs
@@ -145,17 +145,18 @@
     }
 }
 
-/// Some of the balancers to join through, in random order.
+/// Balancers to join through: the seeds in their order, then some that the platform knows.
 async fn candidates(
     shared: &shared::Shared,
     seeds: &[SocketAddrV4],
     registry: &platform::Client,
 ) -> Vec<SocketAddrV4> {
     let me = shared.balancer().tables().own().http;
-    let mut all = configuration::seeds(registry).await;
-    all.extend_from_slice(seeds);
+    let mut known = configuration::seeds(registry).await;
+    known.shuffle(&mut rand::rng());
+    let mut all = seeds.to_vec();
+    all.extend(known);
     all.retain(|seed| *seed != me);
-    all.shuffle(&mut rand::rng());
     all.truncate(MAX_SEEDS);
     all
 }
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -117,9 +117,11 @@
 fn effective_weight(state: member::State, weight: f64, step: u8, expected: Option<f64>) {
     let service = weighted_service("agent-1", weight);
     let mut all = members(&[state, member::State::Ready]);
-    all[0].step = step;
-    let first = all[0].node;
-    all.sort_by_key(|member| member.node);
+    let weighted = all.iter().position(|member| member.name == "agent-1");
+    let weighted = weighted.expect("the weighted agent is there");
+    (all[weighted].state, all[weighted].step) = (state, step);
+    all[1 - weighted].state = member::State::Ready;
+    let first = all[weighted].node;
     let candidates = forward::candidates(&service, &all);
     let found = candidates.iter().find(|one| one.hop.node == first);
     assert_eq!(found.map(|one| one.weight), expected);
