--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -137,6 +137,13 @@
     for (service, port) in &fleet.ports {
         println!("service {service}  http://{port}/");
     }
+    let addresses: Vec<_> = fleet
+        .balancers
+        .iter()
+        .map(|balancer| balancer.addr.http.to_string())
+        .collect();
+    println!("export CASSIACROSS_BALANCERS={}", addresses.join(","));
+    println!("export CASSIACROSS_TOKEN='{}'", fleet::OPERATOR_TOKEN);
 }
 
 fn print_line(second: u64, figures: &[load::Figures]) {
