Bound the flows of an agent, and end only the flow that is meant

Cause: each opening packet made an endpoint, so a flood of them took memory without bound; and a flow that ended late could remove a later one with the same ends. Change: an agent holds twice as many flows as its upstream has connections and then passes on or refuses; removal compares the flow's own handle. With the bound taken out, the flood case waits in vain for refusals; with it 13 of 13 cases of tests/agent pass.

--- a/src/bin/cassiacross-agent/packets.rs
+++ b/src/bin/cassiacross-agent/packets.rs
@@ -183,7 +183,7 @@
     }
     drop(stream);
     let _ended = driver.await;
-    remove(&shared, &open.flow);
+    remove(&shared, &open);
 }
 
 /// The initial sequence number's seed: a hash of flow and agent under the fleet's key.
@@ -268,8 +268,16 @@
     }
 }
 
-fn remove(shared: &Shared, flow: &packet::Flow) {
+/// Removes an ended flow, unless its ends have been taken by a later one.
+fn remove(shared: &Shared, ended: &shared::Open) {
     let mut flows = lock(&shared.flows);
-    flows.table.ended(flow);
-    flows.open.retain(|open| open.flow != *flow);
+    let index = flows
+        .open
+        .binary_search_by(|open| open.flow.cmp(&ended.flow));
+    if let Ok(index) = index
+        && Arc::ptr_eq(&flows.open[index].fabric, &ended.fabric)
+    {
+        flows.open.remove(index);
+        flows.table.ended(&ended.flow);
+    }
 }
--- a/src/bin/cassiacross-agent/shared.rs
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -91,16 +91,28 @@
         };
         let (address, weight) = self.in_force();
         let relay = self.relay();
+        let accepts = ready && weight > 0.0 && relay.is_some() && !self.is_full();
         flow::Local {
             hop,
             service,
             address,
-            accepts: ready && weight > 0.0 && relay.is_some(),
+            accepts,
             room: relay.is_some_and(|relay| relay.has_room()),
             convergence: self.convergence(),
         }
     }
 
+    /// Whether the agent holds as many flows as it may, so that floods of opening
+    /// packets take bounded memory.
+    fn is_full(&self) -> bool {
+        const FLOWS_PER_CONNECTION: usize = 2;
+        let connections = lock(&self.local)
+            .announcement
+            .as_ref()
+            .map_or(0, |announcement| announcement.connections);
+        lock(&self.flows).open.len() >= connections * FLOWS_PER_CONNECTION
+    }
+
     /// Time that the tables of all processes take to agree.
     pub(crate) fn convergence(&self) -> clock::Millis {
         const PERIODS: u64 = 10;
--- /dev/null
+++ b/tests/agent.rs
@@ -0,0 +1,335 @@
+//! The real agent between a fake balancer and a fake upstream.
+
+mod common;
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddrV4, UdpSocket},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use cassiacross::{exchange, gue, header, ident, member, packet, seal};
+use gotham::{mime, prelude::*, router::build_simple_router, state::State};
+use yare::parameterized;
+
+const KEY: &str = "fleet key of the agent tests";
+const TOKEN: &str = "operator token of the agent tests";
+const LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+const CONNECTIONS: usize = 4;
+
+#[derive(serde::Deserialize)]
+struct Bound {
+    packets: SocketAddrV4,
+    http: SocketAddrV4,
+    local: SocketAddrV4,
+}
+
+struct Agent {
+    child: Child,
+    bound: Bound,
+    fabric: UdpSocket,
+    runtime: tokio::runtime::Runtime,
+}
+
+impl Agent {
+    /// Starts an agent whose upstream is ready and whose record is in force.
+    fn start() -> Self {
+        let agent = Self::spawn();
+        assert_eq!(agent.announce(&announcement()), 204);
+        agent.wait_until("ready", || agent.get("ready").0 == 200);
+        agent
+    }
+
+    fn spawn() -> Self {
+        let settings = settings();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cassiacross-agent"))
+            .args(["run", "--settings"])
+            .arg(settings.path())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the agent starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("the agent prints a line");
+        let fabric = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        fabric
+            .set_read_timeout(Some(LIMIT))
+            .expect("the socket can be set");
+        Self {
+            child,
+            bound: serde_json::from_str(&line).expect("the line is JSON"),
+            fabric,
+            runtime: tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime can be made"),
+        }
+    }
+
+    fn announce(&self, body: &serde_json::Value) -> u16 {
+        let url = format!("http://{}/announce", self.bound.local);
+        self.runtime.block_on(async {
+            let call = client().post(url).body(body.to_string());
+            call.send()
+                .await
+                .expect("the agent answers")
+                .status()
+                .as_u16()
+        })
+    }
+
+    fn get(&self, path: &str) -> (u16, String) {
+        let url = format!("http://{}/{path}", self.bound.http);
+        self.runtime.block_on(async {
+            let answer = client().get(url).send().await.expect("the agent answers");
+            let status = answer.status().as_u16();
+            (status, answer.text().await.expect("the answer is whole"))
+        })
+    }
+
+    fn state(&self) -> serde_json::Value {
+        serde_json::from_str(&self.get("state").1).expect("the state is JSON")
+    }
+
+    fn counts(&self, metric: &str) -> u64 {
+        let (_, text) = self.get("metrics");
+        let mut lines = text.lines();
+        let value = lines.find_map(|line| line.strip_prefix(metric));
+        value.map_or(0, |value| {
+            value.trim().parse().expect("the value is a number")
+        })
+    }
+
+    fn packets(&self, action: &str) -> u64 {
+        self.counts(&format!(
+            "cassiacross_agent_packets_total{{action=\"{action}\"}}"
+        ))
+    }
+
+    fn wait_until(&self, what: &str, fits: impl Fn() -> bool) {
+        let start = Instant::now();
+        while !fits() {
+            assert!(start.elapsed() < LIMIT, "{what}: {}", self.get("state").1);
+            thread::sleep(POLL);
+        }
+    }
+
+    /// The hop as the agent announces itself now.
+    fn hop(&self) -> header::Hop {
+        let member: member::Member =
+            serde_json::from_value(self.state()["member"].clone()).expect("the entry can be read");
+        member.hop()
+    }
+
+    fn send(&self, header: &header::Header, packet: &[u8]) {
+        let mut head = Vec::new();
+        header::encode(header, &mut head);
+        let mut datagram = Vec::new();
+        seal::Sealer::new(KEY).seal(seal::Kind::Packet, &[&head, packet], &mut datagram);
+        self.send_raw(&datagram);
+    }
+
+    fn send_raw(&self, datagram: &[u8]) {
+        self.fabric
+            .send_to(datagram, self.bound.packets)
+            .expect("it is sent");
+    }
+
+    fn header(&self) -> header::Header {
+        let fabric = self.fabric.local_addr().expect("the socket is bound");
+        header::Header {
+            version: header::VERSION,
+            service: ident::ServiceId::of(common::SERVICE),
+            target: self.hop(),
+            chain: Vec::new(),
+            fabric: common::addr(fabric.port()),
+            forwarded: false,
+        }
+    }
+
+    fn answer(&self) -> packet::View {
+        let mut buffer = [0; 2_048];
+        let len = self.fabric.recv(&mut buffer).expect("an answer comes");
+        let bytes = gue::decode(&buffer[..len]).expect("the answer is encapsulated");
+        packet::parse(bytes).expect("the answer is whole")
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.child.kill().expect("the agent is killed");
+        self.child.wait().expect("the agent ends");
+    }
+}
+
+fn client() -> reqwest::Client {
+    reqwest::Client::builder()
+        .no_proxy()
+        .timeout(LIMIT)
+        .build()
+        .expect("a client can be made")
+}
+
+fn settings() -> tempfile::NamedTempFile {
+    let any = "127.0.0.1:0";
+    let text = serde_json::json!({
+        "name": "agent-1", "domain": "valley-a", "packets": any, "http": any, "local": any,
+        "seeds": [balancer()], "period_ms": 50, "fleet_key": KEY, "operator_token": TOKEN,
+    });
+    let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
+    file.write_all(text.to_string().as_bytes())
+        .expect("the file can be written");
+    file
+}
+
+fn announcement() -> serde_json::Value {
+    serde_json::json!({
+        "service": common::SERVICE, "address": "127.0.0.1:9", "slots": 2,
+        "connections": CONNECTIONS, "load": "/load", "state": "ready",
+    })
+}
+
+/// A balancer that gives the view of one service without agents.
+fn balancer() -> SocketAddrV4 {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener
+        .set_nonblocking(true)
+        .expect("the socket can be set");
+    let port = listener.local_addr().expect("the socket is bound").port();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime can be made");
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            let accept = |stream| std::future::ready(Ok(stream));
+            gotham::bind_server(listener, router(), accept).await;
+        });
+    });
+    common::addr(port)
+}
+
+fn router() -> gotham::router::Router {
+    build_simple_router(|route| {
+        route.post("/fleet/view").to(|state: State| {
+            let versioned = common::service(common::SERVICE, 80, 3);
+            let view = exchange::View {
+                service: versioned.service,
+                version: versioned.version,
+                digest: 1,
+                ..exchange::View::default()
+            };
+            (state, (mime::APPLICATION_MSGPACK, exchange::encode(&view)))
+        });
+    })
+}
+
+#[test]
+fn opening_packet_is_answered_past_the_balancer() {
+    let agent = Agent::start();
+    agent.send(
+        &agent.header(),
+        &common::opening(4_000, common::address(80)),
+    );
+    let answer = agent.answer();
+    assert_eq!(*answer.flow.caller.ip(), *common::address(80).ip());
+    assert_eq!(
+        (answer.opening, answer.reset, answer.ack),
+        (false, false, Some(2))
+    );
+    agent.wait_until("the flow", || agent.packets("accept") == 1);
+}
+
+#[parameterized(
+    other_agent = { |header| header.target.node = ident::NodeId(1), "drop_target" },
+    earlier_run = { |header| header.target.incarnation = ident::Incarnation(1), "drop_target" },
+    other_service = { |header| header.service = ident::ServiceId::of("sheets"), "drop_target" },
+)]
+fn packet_for_another_is_not_delivered(change: fn(&mut header::Header), counted: &str) {
+    let agent = Agent::start();
+    let mut header = agent.header();
+    change(&mut header);
+    agent.send(&header, &common::opening(4_000, common::address(80)));
+    agent.wait_until("the drop", || agent.packets(counted) == 1);
+    assert_eq!(agent.packets("accept"), 0);
+}
+
+#[test]
+fn address_of_another_service_takes_no_flow() {
+    let agent = Agent::start();
+    agent.send(
+        &agent.header(),
+        &common::opening(4_000, common::address(81)),
+    );
+    agent.wait_until("the drop", || agent.packets("drop_address") == 1);
+    assert_eq!(agent.packets("accept"), 0);
+}
+
+#[test]
+fn flood_of_opening_packets_takes_bounded_flows() {
+    let agent = Agent::start();
+    let flows = u16::try_from(CONNECTIONS * 2).expect("the number is small");
+    for caller in 0..flows + 5 {
+        let opening = common::opening(4_000 + caller, common::address(80));
+        agent.send(&agent.header(), &opening);
+    }
+    agent.wait_until("refusals", || agent.packets("refuse") == 5);
+    assert_eq!(agent.packets("accept"), u64::from(flows));
+}
+
+#[test]
+fn bad_datagrams_are_counted_and_do_no_harm() {
+    let agent = Agent::start();
+    let mut sealed = Vec::new();
+    seal::Sealer::new("another fleet's key").seal(seal::Kind::Packet, &[b"x"], &mut sealed);
+    let mut hollow = Vec::new();
+    seal::Sealer::new(KEY).seal(seal::Kind::Displaced, &[b"x"], &mut hollow);
+    for datagram in [&[][..], &[1; 8], &[0xff; 1_500], &sealed, &hollow] {
+        agent.send_raw(datagram);
+    }
+    let dropped = "cassiacross_agent_dropped_datagrams_total";
+    agent.wait_until("the drops", || agent.counts(dropped) == 5);
+    agent.send(
+        &agent.header(),
+        &common::opening(4_000, common::address(80)),
+    );
+    assert!(!agent.answer().reset);
+}
+
+#[parameterized(
+    no_json = { serde_json::json!("text") },
+    other_host = { serde_json::json!({"service": "ledger", "address": "192.0.2.1:80", "slots": 1, "connections": 1, "state": "ready"}) },
+    no_slots = { serde_json::json!({"service": "ledger", "address": "127.0.0.1:80", "slots": 0, "connections": 1, "state": "ready"}) },
+    unknown_state = { serde_json::json!({"service": "ledger", "address": "127.0.0.1:80", "slots": 1, "connections": 1, "state": "asleep"}) },
+)]
+fn faulty_announcement_is_refused(body: serde_json::Value) {
+    let agent = Agent::spawn();
+    assert_eq!(agent.announce(&body), 400);
+    assert_eq!(agent.get("ready").0, 503);
+}
+
+#[test]
+fn ready_after_draining_is_a_new_run() {
+    let agent = Agent::start();
+    let before = agent.hop();
+    let mut draining = announcement();
+    draining["state"] = "draining".into();
+    agent.announce(&draining);
+    assert_eq!(agent.get("ready").0, 503);
+    agent.announce(&announcement());
+    agent.wait_until("ready", || agent.get("ready").0 == 200);
+    assert!(agent.hop().incarnation > before.incarnation);
+}
+
+#[test]
+fn state_hides_secrets() {
+    let agent = Agent::start();
+    let (_, state) = agent.get("state");
+    assert!(!state.contains(KEY) && !state.contains(TOKEN));
+}
