List at once on a cold start, repair missed watches, show agents in the status

Cause: an empty first list was swallowed, so a balancer of a new fleet waited for a 5 s long poll before it was ready. A change that a watch left out came only with the list after 60 s where there was no peer. The status showed balancers only, though heartbeats carry the agents' versions. Ruled out: a shorter relist period, which costs calls in quiet fleets; a count of versions in each answer, which the platform does not give. Change: a list is given also when empty. Revisions between two watch answers that no item explains lead to a list, at most one a second. A balancer keeps the version that each heartbeat tells and gives it under /v1/status; the tool takes the agents into lowest version and lag, each with the newest telling. Conclusion: objects of other kinds also lead to lists, bounded by that rate.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -53,6 +53,17 @@
     pub digest: Option<u64>,
 }
 
+/// An agent whose heartbeats come to the process that tells of it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Agent {
+    /// The upstream's name.
+    pub name: String,
+    /// The service that the upstream serves, which names its record.
+    pub service: String,
+    /// The version of that record in force at the agent, 0 for none.
+    pub version: u64,
+}
+
 /// The configuration as one process has it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Status {
@@ -66,6 +77,9 @@
     pub records: Vec<config::Standing>,
     /// What it knows of other processes.
     pub peers: Vec<Peer>,
+    /// The agents that it watches.
+    #[serde(default)]
+    pub agents: Vec<Agent>,
 }
 
 /// Finds a service's name by an upstream's.
@@ -87,6 +101,8 @@
     pub apply: Box<dyn Fn(&platform::Object) + Send + Sync>,
     /// What is known of other processes.
     pub peers: Box<dyn Fn() -> Vec<Peer> + Send + Sync>,
+    /// The agents that this balancer watches.
+    pub agents: Box<dyn Fn() -> Vec<Agent> + Send + Sync>,
     /// The service that an announced upstream serves.
     pub service_of: Lookup,
 }
@@ -167,6 +183,7 @@
             digest: table.digest(),
             records: table.standings().collect(),
             peers: (self.parts.peers)(),
+            agents: (self.parts.agents)(),
         }
     }
 
--- a/src/bin/cassiacross-balancer/configuration.rs
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -57,7 +57,8 @@
     client: platform::Client,
 ) -> admin::Admin {
     let common = &settings.common;
-    let (table, apply, peers, members) = (
+    let (table, apply, peers, agents, members) = (
+        shared.clone(),
         shared.clone(),
         shared.clone(),
         shared.clone(),
@@ -71,6 +72,7 @@
         table: Box::new(move || Arc::new(table.records().clone())),
         apply: Box::new(move |object| apply.apply(&[document(object)])),
         peers: Box::new(move || known_peers(&peers)),
+        agents: Box::new(move || watched_agents(&agents)),
         service_of: Box::new(move |upstream| service_of(&members, upstream)),
     })
 }
@@ -90,6 +92,19 @@
         .collect()
 }
 
+fn watched_agents(shared: &shared::Shared) -> Vec<admin::Agent> {
+    let now = shared.now();
+    let balancer = shared.balancer();
+    let heard = balancer.tables().heard(now);
+    heard
+        .map(|row| admin::Agent {
+            name: row.member.name.clone(),
+            service: row.member.service.clone(),
+            version: row.beat.map_or(0, |beat| beat.version),
+        })
+        .collect()
+}
+
 fn service_of(shared: &shared::Shared, upstream: &str) -> Option<String> {
     let balancer = shared.balancer();
     let rows = balancer.tables().members().iter();
--- a/src/bin/cassiacross/app.rs
+++ b/src/bin/cassiacross/app.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 use anyhow::Context;
-use cassiacross::{change, config, record, reply};
+use cassiacross::{admin, change, config, record, reply};
 use reqwest::Method;
 use serde_json::{Value, json};
 
@@ -158,11 +158,14 @@
             });
         }
         let rows = lag::rows(&asked);
+        let agents = lag::agents(&asked);
         let differing = lag::differing(&asked);
         if self.json {
-            print(&json!({ "asked": asked, "records": rows, "differing": differing }));
+            print(
+                &json!({ "asked": asked, "records": rows, "agents": agents, "differing": differing }),
+            );
         } else {
-            print_status(&asked, &rows, &differing);
+            print_status(&asked, &rows, &agents, &differing);
         }
         let silent = asked.iter().filter(|asked| asked.status.is_none()).count();
         let late = rows.iter().filter(|row| !row.lagging.is_empty()).count();
@@ -282,7 +285,12 @@
     println!("{value:#}");
 }
 
-fn print_status(asked: &[lag::Asked], rows: &[lag::Row], differing: &[String]) {
+fn print_status(
+    asked: &[lag::Asked],
+    rows: &[lag::Row],
+    agents: &[admin::Agent],
+    differing: &[String],
+) {
     for asked in asked {
         match (&asked.status, &asked.error) {
             (Some(status), _) => println!(
@@ -295,6 +303,12 @@
             (None, error) => println!("{:<24} {}", asked.addr, error.as_deref().unwrap_or("-")),
         }
     }
+    for agent in agents {
+        println!(
+            "{:<24} {:<16} version {}",
+            agent.name, agent.service, agent.version
+        );
+    }
     println!("{:<24} {:>8} {:>8}  lagging", "record", "newest", "lowest");
     for row in rows {
         let lagging = row.lagging.join(", ");
--- a/src/bin/cassiacross/cli.rs
+++ b/src/bin/cassiacross/cli.rs
@@ -67,7 +67,7 @@
             optional --change id: String
         }
 
-        /// Shows the versions in force in each balancer, and who lags.
+        /// Shows the versions in force in each balancer and agent, and who lags.
         cmd status {}
 
         /// Prints the state of a balancer or agent.
--- a/src/bin/cassiacross/lag.rs
+++ b/src/bin/cassiacross/lag.rs
@@ -23,7 +23,7 @@
     pub(crate) newest: u64,
     /// The lowest version in force, 0 for none.
     pub(crate) lowest: u64,
-    /// Processes that have not the newest version in force.
+    /// Balancers and agents that have not the newest version in force.
     pub(crate) lagging: Vec<String>,
     /// Why the newest version is not in force in one of them, if known.
     pub(crate) fault: Option<String>,
@@ -42,6 +42,22 @@
     names.iter().map(|name| row(name, &statuses)).collect()
 }
 
+/// The agents that any balancer watches, in the newest version told of each, sorted by name.
+pub(crate) fn agents(asked: &[Asked]) -> Vec<admin::Agent> {
+    let statuses = asked.iter().filter_map(|asked| asked.status.as_ref());
+    watched(statuses)
+}
+
+fn watched<'a>(statuses: impl Iterator<Item = &'a admin::Status>) -> Vec<admin::Agent> {
+    let mut agents: Vec<_> = statuses
+        .flat_map(|status| &status.agents)
+        .cloned()
+        .collect();
+    agents.sort_by(|a, b| (&a.name, b.version).cmp(&(&b.name, a.version)));
+    agents.dedup_by(|next, kept| next.name == kept.name);
+    agents
+}
+
 /// Processes that a balancer knows of and that told another digest than its own.
 pub(crate) fn differing(asked: &[Asked]) -> Vec<String> {
     let statuses = asked.iter().filter_map(|asked| asked.status.as_ref());
@@ -62,15 +78,22 @@
         .collect();
     let places = || standings.iter().filter_map(|(_, place)| *place);
     let newest = places().map(|place| place.seen).max().unwrap_or(0);
-    let lagging = standings
+    let balancers = standings
         .iter()
-        .filter(|(_, place)| in_force(*place) < newest);
-    let lowest = standings.iter().map(|(_, place)| in_force(*place)).min();
+        .map(|(name, place)| ((*name).to_owned(), in_force(*place)));
+    let is_deleted = places().any(|place| place.deleted && place.in_force == newest);
+    let agents = watched(statuses.iter().copied()).into_iter();
+    let agents = agents
+        .filter(|agent| agent.service == name && !is_deleted)
+        .map(|agent| (agent.name, agent.version));
+    let versions: Vec<_> = balancers.chain(agents).collect();
+    let lagging = versions.iter().filter(|(_, version)| *version < newest);
+    let lowest = versions.iter().map(|(_, version)| *version).min();
     Row {
         name: name.to_owned(),
         newest,
         lowest: lowest.unwrap_or(0),
-        lagging: lagging.map(|(name, _)| (*name).to_owned()).collect(),
+        lagging: lagging.map(|(name, _)| name.clone()).collect(),
         fault: places().find_map(|place| place.fault.clone()),
     }
 }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -108,6 +108,9 @@
         if merge == membership::Merge::Taken {
             self.note(Topic::Member(node));
         }
+        if merge != membership::Merge::Refused {
+            tables.note_version(node, beat.version);
+        }
         let refused = (merge == membership::Merge::Refused)
             .then(|| tables.newest(node))
             .flatten();
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -120,6 +120,8 @@
     pub seq: u64,
     /// When it arrived.
     pub at: clock::Millis,
+    /// Version of the service's record that is in force at the agent, as last told.
+    pub version: u64,
 }
 
 /// An agent in the table.
@@ -358,10 +360,30 @@
         if row.beat.is_some_and(|beat| beat.seq >= seq) {
             return None;
         }
-        row.beat = Some(Beat { seq, at: now });
+        let version = row.beat.map_or(0, |beat| beat.version);
+        row.beat = Some(Beat {
+            seq,
+            at: now,
+            version,
+        });
         Some(merge)
     }
 
+    /// Notes the version of its record that a heartbeat, just taken, tells.
+    pub fn note_version(&mut self, node: ident::NodeId, version: u64) {
+        if let Ok(at) = self.find_member(node)
+            && let Some(beat) = &mut self.members[at].beat
+        {
+            beat.version = version;
+        }
+    }
+
+    /// The agents whose heartbeats come here, sorted by node.
+    pub fn heard(&self, now: clock::Millis) -> impl Iterator<Item = &MemberRow> {
+        let heard = move |row: &&MemberRow| row.is_heard(&self.timing, now);
+        self.members.iter().filter(heard)
+    }
+
     /// The latest entry that is known of an agent, be it held or forgotten.
     #[must_use]
     pub fn newest(&self, node: ident::NodeId) -> Option<Tombstone> {
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -14,6 +14,9 @@
 /// Time after which everything is listed again, in case a watch missed a change.
 pub const RELIST: clock::Millis = clock::Millis(60_000);
 
+/// Shortest time between two lists where a watch left revisions unexplained.
+pub const REPAIR: clock::Millis = clock::Millis(1_000);
+
 const SEED: u64 = 0x7761_7463_6865_7273;
 
 /// Whether `me` is among the watchers of its failure domain: the first two of
@@ -40,6 +43,7 @@
     clock: clock::Clock,
     relist: clock::Millis,
     listed: clock::Millis,
+    missed: bool,
     after: Option<u64>,
     complete: bool,
     backoff: backoff::Backoff,
@@ -60,6 +64,7 @@
             clock: clock::Clock::new(),
             relist,
             listed: clock::Millis(0),
+            missed: false,
             after: None,
             complete: false,
             backoff: backoff::Backoff::new(seed, u32::MAX),
@@ -74,34 +79,42 @@
 
     /// Waits for the next changed objects; older versions may come after newer ones.
     ///
-    /// Failures are logged and retried; all objects are listed after one. May
-    /// be dropped at any point and called again.
+    /// A list is given at once, also an empty one. Failures are logged and
+    /// retried; all objects are listed after one. May be dropped at any point
+    /// and called again.
     pub async fn next(&mut self) -> Vec<platform::Object> {
         loop {
             match self.step().await {
-                Ok(items) if items.is_empty() => {}
-                Ok(items) => return items,
+                Ok(None) => {}
+                Ok(Some(items)) => return items,
                 Err(error) => self.recover(&error).await,
             }
         }
     }
 
-    async fn step(&mut self) -> Result<Vec<platform::Object>, platform::Error> {
+    async fn step(&mut self) -> Result<Option<Vec<platform::Object>>, platform::Error> {
         let now = self.clock.now();
-        let due = now.since(self.listed) >= self.relist;
-        let Some(after) = self.after.filter(|_| !due) else {
+        let age = now.since(self.listed);
+        let relist = if self.missed {
+            self.relist.min(REPAIR)
+        } else {
+            self.relist
+        };
+        let Some(after) = self.after.filter(|_| age < relist) else {
             let listing = self.client.list(self.kind).await?;
             self.listed = now;
-            return Ok(self.take(listing));
+            self.missed = false;
+            return Ok(Some(self.take(listing)));
         };
-        let left = self.relist.since(now.since(self.listed));
-        let wait = WAIT.min(left);
+        let wait = WAIT.min(relist.since(age));
         let listing = self.client.watch(self.kind, after, wait).await?;
         if listing.revision < after {
             self.after = None;
-            return Ok(Vec::new());
+            return Ok(None);
         }
-        Ok(self.take(listing))
+        self.missed |= is_partial(&listing, after);
+        let items = self.take(listing);
+        Ok((!items.is_empty()).then_some(items))
     }
 
     fn take(&mut self, listing: platform::Listing) -> Vec<platform::Object> {
@@ -119,6 +132,17 @@
     }
 }
 
+/// Whether some revisions since `after` are not among the items: objects of
+/// other kinds, or changes that the watch missed.
+fn is_partial(listing: &platform::Listing, after: u64) -> bool {
+    let mut versions: Vec<_> = listing.items.iter().map(|item| item.version).collect();
+    versions.retain(|version| *version > after);
+    versions.sort_unstable();
+    versions.dedup();
+    let explained = u64::try_from(versions.len()).unwrap_or(u64::MAX);
+    explained < listing.revision - after
+}
+
 fn score(node: ident::NodeId) -> u64 {
     xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), SEED)
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -126,6 +126,7 @@
                 .apply(&object.name, object.version, document);
         }),
         peers: Box::new(Vec::new),
+        agents: Box::new(Vec::new),
         service_of: Box::new(|upstream| (upstream == "ledger-9").then(|| "ledger".to_owned())),
     }
 }
