Send an agent's heartbeats apart from its pulls

Cause: one loop did both, so a balancer that took a connection and never answered held back heartbeats for the pull's time-out of 2 s, two thirds of the time after which an agent is taken for silent at a period of 1 s and far more at shorter ones. Change: two loops.

--- a/src/bin/cassiacross-agent/app.rs
+++ b/src/bin/cassiacross-agent/app.rs
@@ -75,7 +75,8 @@
     let me = me(&settings, &bound)?;
     let shared = shared(settings, socket, me);
     tokio::spawn(packets::run(shared.clone()));
-    tokio::spawn(control::run(shared.clone(), peers::client()?));
+    tokio::spawn(control::beats(shared.clone()));
+    tokio::spawn(control::views(shared.clone(), peers::client()?));
     tokio::spawn(serve_http(http, http::router(shared.clone())));
     tokio::spawn(serve_http(local, http::local_router(shared.clone())));
     println!("{}", serde_json::to_string(&bound)?);
--- a/src/bin/cassiacross-agent/control.rs
+++ b/src/bin/cassiacross-agent/control.rs
@@ -14,30 +14,44 @@
 /// Periods without an announcement after which the upstream is tried.
 const SILENT_PERIODS: u64 = 5;
 
-/// Runs the systems of each period until the process ends.
-pub(crate) async fn run(shared: Shared, client: reqwest::Client) {
-    let period = shared.settings.common.period;
-    let mut ticks = time::interval(period.to_duration());
-    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+/// Sends heartbeats and lets flows lapse until the process ends.
+///
+/// Nothing here waits for another process, so that a slow one costs no heartbeat.
+pub(crate) async fn beats(shared: Shared) {
+    let mut ticks = ticks(&shared);
     let mut seq = 0;
-    let mut stated = shared.now();
     loop {
         ticks.tick().await;
         seq += 1;
-        watch_upstream(&shared).await;
         measure(&shared);
         watchers(&shared);
         beat(&shared, seq);
+        lapse(&shared);
+    }
+}
+
+/// Keeps the agent's views and states displaced flows until the process ends.
+pub(crate) async fn views(shared: Shared, client: reqwest::Client) {
+    let mut ticks = ticks(&shared);
+    let mut stated = shared.now();
+    loop {
+        ticks.tick().await;
+        watch_upstream(&shared).await;
         let due = shared.now().since(stated) >= displaced::STATE_PERIOD;
         if pull_if_due(&shared, &client).await || due {
             succeed(&shared, &client).await;
             state(&shared);
             stated = shared.now();
         }
-        lapse(&shared);
     }
 }
 
+fn ticks(shared: &Shared) -> time::Interval {
+    let mut ticks = time::interval(shared.settings.common.period.to_duration());
+    ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    ticks
+}
+
 /// Notes a balancer's answer; a digest that differs asks for a pull.
 pub(crate) fn acknowledged(shared: &Shared, ack: &exchange::Ack) {
     if let Some(known) = &ack.refused {
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::{
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddrV4, UdpSocket},
     process::{Child, Command, Stdio},
     thread,
@@ -44,7 +44,11 @@
     }
 
     fn spawn() -> Self {
-        let settings = settings();
+        Self::spawn_beside(balancer(Vec::new()))
+    }
+
+    fn spawn_beside(seed: SocketAddrV4) -> Self {
+        let settings = settings(seed);
         let mut child = Command::new(env!("CARGO_BIN_EXE_cassiacross-agent"))
             .args(["run", "--settings"])
             .arg(settings.path())
@@ -175,11 +179,11 @@
         .expect("a client can be made")
 }
 
-fn settings() -> tempfile::NamedTempFile {
+fn settings(seed: SocketAddrV4) -> tempfile::NamedTempFile {
     let any = "127.0.0.1:0";
     let text = serde_json::json!({
         "name": "agent-1", "domain": "valley-a", "packets": any, "http": any, "local": any,
-        "seeds": [balancer()], "period_ms": 50, "fleet_key": KEY, "operator_token": TOKEN,
+        "seeds": [seed], "period_ms": 50, "fleet_key": KEY, "operator_token": TOKEN,
     });
     let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
     file.write_all(text.to_string().as_bytes())
@@ -194,8 +198,8 @@
     })
 }
 
-/// A balancer that gives the view of one service without agents.
-fn balancer() -> SocketAddrV4 {
+/// A balancer that gives the view of one service without agents, with `others` as balancers.
+fn balancer(others: Vec<member::Balancer>) -> SocketAddrV4 {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener
         .set_nonblocking(true)
@@ -209,24 +213,26 @@
         runtime.block_on(async {
             let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
             let accept = |stream| std::future::ready(Ok(stream));
-            gotham::bind_server(listener, router(), accept).await;
+            gotham::bind_server(listener, router(others), accept).await;
         });
     });
     common::addr(port)
 }
 
-fn router() -> gotham::router::Router {
+fn router(others: Vec<member::Balancer>) -> gotham::router::Router {
+    let versioned = common::service(common::SERVICE, 80, 3);
+    let view = exchange::View {
+        service: versioned.service,
+        version: versioned.version,
+        balancers: others,
+        digest: 1,
+        ..exchange::View::default()
+    };
+    let body: &'static [u8] = exchange::encode(&view).leak();
     build_simple_router(|route| {
-        route.post("/fleet/view").to(|state: State| {
-            let versioned = common::service(common::SERVICE, 80, 3);
-            let view = exchange::View {
-                service: versioned.service,
-                version: versioned.version,
-                digest: 1,
-                ..exchange::View::default()
-            };
-            (state, (mime::APPLICATION_MSGPACK, exchange::encode(&view)))
-        });
+        route
+            .post("/fleet/view")
+            .to(move |state: State| (state, (mime::APPLICATION_MSGPACK, body)));
     })
 }
 
@@ -327,6 +333,84 @@
     assert!(agent.hop().incarnation > before.incarnation);
 }
 
+/// A balancer that takes heartbeats and connections but never answers a pull.
+struct Silent {
+    control: UdpSocket,
+    http: std::net::TcpListener,
+}
+
+impl Silent {
+    fn new() -> Self {
+        let control = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+        control
+            .set_read_timeout(Some(LIMIT))
+            .expect("the socket can be set");
+        let http = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        Self { control, http }
+    }
+
+    fn entry(&self) -> member::Balancer {
+        let port = |addr: std::io::Result<std::net::SocketAddr>| {
+            common::addr(addr.expect("the socket is bound").port())
+        };
+        member::Balancer {
+            control: port(self.control.local_addr()),
+            http: port(self.http.local_addr()),
+            ..common::balancer(1)
+        }
+    }
+
+    /// Takes one heartbeat and tells of a view that differs.
+    fn answer(&self) -> u64 {
+        let mut buffer = [0; 2_048];
+        let (len, from) = self
+            .control
+            .recv_from(&mut buffer)
+            .expect("a heartbeat comes");
+        let sealer = seal::Sealer::new(KEY);
+        let (_, body) = sealer.open(&buffer[..len]).expect("it is sealed");
+        let beat: exchange::Heartbeat = rmp_serde::from_slice(body).expect("it can be read");
+        let ack = exchange::Ack {
+            balancer: self.entry().node,
+            incarnation: self.entry().incarnation,
+            seq: beat.seq,
+            digest: beat.digest + 1,
+            version: 0,
+            refused: None,
+        };
+        let mut datagram = Vec::new();
+        sealer.seal(seal::Kind::Ack, &[&exchange::encode(&ack)], &mut datagram);
+        self.control.send_to(&datagram, from).expect("it is sent");
+        beat.seq
+    }
+}
+
+#[test]
+fn heartbeats_go_on_while_a_pull_hangs() {
+    let silent = Silent::new();
+    let agent = Agent::spawn_beside(balancer(vec![silent.entry()]));
+    assert_eq!(agent.announce(&announcement()), 204);
+    let mut last = silent.answer();
+    let (pull, _) = silent.http.accept().expect("the agent pulls");
+    pull.set_nonblocking(true).expect("the socket can be set");
+    let mut request = [0; 4_096];
+    while last == 0 || !matches!(pull.peek(&mut request), Ok(len) if len > 0) {
+        last = silent.answer();
+    }
+    let started = last;
+    while last <= started + 2 {
+        last = silent.answer();
+    }
+    let mut ended = || loop {
+        match (&pull).read(&mut request) {
+            Ok(0) => return true,
+            Ok(_) => {}
+            Err(_) => return false,
+        }
+    };
+    assert!(!ended(), "the heartbeats waited for the end of the pull");
+}
+
 #[test]
 fn state_hides_secrets() {
     let agent = Agent::start();
