--- a/xtask/src/app.rs
+++ b/xtask/src/app.rs
@@ -2,7 +2,7 @@
 
 use tokio::{runtime, signal, signal::unix};
 
-use crate::{demo, release};
+use crate::{demo, measure, release};
 
 /// The parsed command line.
 mod flags {
@@ -24,6 +24,15 @@
                 /// Seconds of load.
                 optional --seconds seconds: u64
             }
+            /// Measures one property and prints a table.
+            cmd measure {
+                /// exchange or packets.
+                required name: String
+                /// Seed of all random choices, 1 by default.
+                optional --seed seed: u64
+                /// Prints a JSON object as the last line.
+                optional --json
+            }
         }
     }
 }
@@ -53,6 +62,10 @@
             })
             .await
         }
+        flags::XtaskCmd::Measure(flags) => {
+            let seed = flags.seed.unwrap_or(1);
+            measure::run(&flags.name, seed, flags.json)
+        }
     }
 }
 
