Give agents the balancers that matter to them, and let joining processes repeat nothing

Cause: each view held all balancers and its digest covered them, so that one restart made all agents pull about 60 kB each; and a process that joined repeated the whole table that it had just taken, for minutes. Ruled out: leaving balancers out of the digest, as watchers would then not follow a lost balancer. Change: a view for an agent holds the 8 nearest balancers; entries of the first sync start no rumours.

--- a/src/bin/cassiacross-agent/control.rs
+++ b/src/bin/cassiacross-agent/control.rs
@@ -66,14 +66,17 @@
 
 /// Pulls the agent's view where a watcher's differs; returns whether one was taken.
 async fn pull_if_due(shared: &Shared, client: &reqwest::Client) -> bool {
-    let service = lock(&shared.me).service.clone();
+    let (node, service) = {
+        let me = lock(&shared.me);
+        (me.node, me.service.clone())
+    };
     if service.is_empty() {
         return false;
     }
     let Some(balancer) = source(shared) else {
         return false;
     };
-    let request = exchange::ViewRequest::Service(service);
+    let request = exchange::ViewRequest::Agent { service, node };
     match peers::view(shared, client, balancer, &request).await {
         Ok(view) => {
             take(shared, view);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -98,13 +98,20 @@
     pub hints: Vec<Hint>,
 }
 
-/// Asks a balancer for a view, by the name of a service or by its address.
+/// Asks a balancer for a view of a service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ViewRequest {
     /// The service of this name.
     Service(String),
     /// The service that has this address now.
     Address(SocketAddrV4),
+    /// An agent's own service, with the balancers that matter to the agent.
+    Agent {
+        /// Name of the service.
+        service: String,
+        /// The agent.
+        node: ident::NodeId,
+    },
 }
 
 /// What an agent needs to know of a service.
@@ -116,7 +123,7 @@
     pub version: u64,
     /// The service's agents that are taken for alive, sorted by node.
     pub members: Vec<member::Member>,
-    /// The live balancers, sorted by node.
+    /// The live balancers, or those that matter to the asking agent, sorted by node.
     pub balancers: Vec<member::Balancer>,
     /// Digest of all this, as in [`Ack`].
     pub digest: u64,
@@ -246,25 +253,51 @@
     now: clock::Millis,
 ) -> View {
     let found = match request {
-        ViewRequest::Service(name) => find_service(services, name),
+        ViewRequest::Service(name) | ViewRequest::Agent { service: name, .. } => {
+            find_service(services, name)
+        }
         ViewRequest::Address(address) => services
             .iter()
             .find(|versioned| address_of(versioned) == Some(*address)),
     };
     let name = match (request, found) {
-        (ViewRequest::Service(name), _) => name.as_str(),
+        (ViewRequest::Service(name) | ViewRequest::Agent { service: name, .. }, _) => name.as_str(),
         (ViewRequest::Address(_), found) => found.map_or("", |found| &found.name),
     };
     let version = found.map_or(0, |found| found.version);
+    let (balancers, digest) = match request {
+        ViewRequest::Agent { node, .. } => (
+            agent_balancers(tables, *node, now),
+            tables.agent_digest(*node, name, version, now),
+        ),
+        _ => (
+            tables.live(now).cloned().collect(),
+            tables.view_digest(name, version, now),
+        ),
+    };
     View {
         service: found.and_then(|found| found.service.clone()),
         version,
         members: tables.in_force(name).cloned().collect(),
-        balancers: tables.live(now).cloned().collect(),
-        digest: tables.view_digest(name, version, now),
+        balancers,
+        digest,
     }
 }
 
+fn agent_balancers(
+    tables: &membership::Tables,
+    agent: ident::NodeId,
+    now: clock::Millis,
+) -> Vec<member::Balancer> {
+    let mut balancers: Vec<_> =
+        membership::nearest(agent, tables.live(now), membership::KNOWN_BALANCERS)
+            .into_iter()
+            .cloned()
+            .collect();
+    balancers.sort_unstable_by_key(|balancer| balancer.node);
+    balancers
+}
+
 /// Writes a message in `MessagePack`.
 ///
 /// # Panics
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -116,7 +116,12 @@
             balancer: tables.own().node,
             incarnation: tables.own().incarnation,
             seq: beat.seq,
-            digest: tables.view_digest(service, exchange::version_of(services, service), now),
+            digest: tables.agent_digest(
+                node,
+                service,
+                exchange::version_of(services, service),
+                now,
+            ),
             version: exchange::highest(services),
             refused,
         })
@@ -159,12 +164,17 @@
         from: SocketAddrV4,
         now: clock::Millis,
     ) -> Vec<Action> {
+        let joining = !tables.is_synced();
+        let noted = self.rumours.clone();
         self.merge(tables, &[], &sync.balancers, now);
         for stone in &sync.tombstones {
             tables.merge_tombstone(stone, now);
         }
         self.merge_members(tables, &sync.members, now);
-        let joining = !tables.is_synced();
+        // What a joining process takes from a peer is news to nobody else.
+        if joining {
+            self.rumours = noted;
+        }
         for line in &sync.lines {
             tables.merge_line(line, now);
             if joining {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -13,6 +13,9 @@
 /// Balancers that an agent sends its heartbeats to.
 pub const WATCHERS: usize = 3;
 
+/// Balancers that an agent knows, its watchers among them.
+pub const KNOWN_BALANCERS: usize = 8;
+
 /// Agents that one line can except; a balancer that misses more vouches for none.
 pub const MAX_EXCEPT: usize = 64;
 
@@ -514,6 +517,25 @@
         })
     }
 
+    /// Digest of what an agent's view of its service shows, see [`nearest`].
+    #[must_use]
+    pub fn agent_digest(
+        &self,
+        agent: ident::NodeId,
+        service: &str,
+        version: u64,
+        now: clock::Millis,
+    ) -> u64 {
+        let members = self
+            .in_force(service)
+            .fold(version, |digest, member| digest ^ hash_member(member));
+        nearest(agent, self.live(now), KNOWN_BALANCERS)
+            .into_iter()
+            .fold(members, |digest, balancer| {
+                digest ^ hash_entry(balancer.node, balancer.incarnation, 0)
+            })
+    }
+
     fn fingerprint(&self) -> u64 {
         self.members
             .iter()
@@ -746,15 +768,29 @@
     }
 }
 
-/// Chooses the balancers that an agent sends its heartbeats to.
+/// Chooses the balancers that an agent sends its heartbeats to: the
+/// [`WATCHERS`] best of [`nearest`].
+pub fn watchers<'a>(
+    agent: ident::NodeId,
+    balancers: impl IntoIterator<Item = &'a member::Balancer>,
+) -> Vec<ident::NodeId> {
+    nearest(agent, balancers, WATCHERS)
+        .into_iter()
+        .map(|balancer| balancer.node)
+        .collect()
+}
+
+/// Ranks the balancers for an agent and gives the first `limit`.
 ///
 /// Rendezvous hashing (Thaler and Ravishankar, 1998) ranks the balancers; the
 /// best of each failure domain come first, then the best of the rest. Leaving
-/// balancers are not chosen. The result has at most [`WATCHERS`] nodes.
-pub fn watchers<'a>(
+/// balancers are left out. The first ones of a result are the same as those of
+/// a result with a smaller limit.
+pub fn nearest<'a>(
     agent: ident::NodeId,
     balancers: impl IntoIterator<Item = &'a member::Balancer>,
-) -> Vec<ident::NodeId> {
+    limit: usize,
+) -> Vec<&'a member::Balancer> {
     let mut ranked: Vec<_> = balancers
         .into_iter()
         .filter(|balancer| !balancer.leaving)
@@ -773,8 +809,8 @@
             first
         });
     chosen.extend(rest);
-    chosen.truncate(WATCHERS);
-    chosen.into_iter().map(|balancer| balancer.node).collect()
+    chosen.truncate(limit);
+    chosen
 }
 
 /// The part of the agents' table that a node's entry belongs to.
