--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -31,17 +31,17 @@
 const MISMATCH_PERIODS: u64 = 2;
 const SYNC_PERIODS: u64 = 5;
 
-/// What a rumour is about.
+/// What a rumour is about; where datagrams are full, the first kinds go first.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
+    /// A record's version.
+    Record(String),
     /// A balancer's line.
     Line(ident::NodeId),
-    /// An agent's entry.
-    Member(ident::NodeId),
     /// A balancer's entry.
     Balancer(ident::NodeId),
-    /// A record's version.
-    Record(String),
+    /// An agent's entry.
+    Member(ident::NodeId),
 }
 
 #[derive(Clone, Debug)]
