--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -31,17 +31,17 @@
 const MISMATCH_PERIODS: u64 = 2;
 const SYNC_PERIODS: u64 = 5;
 
-/// What a rumour is about.
+/// What a rumour is about; where datagrams are full, the first kinds go first.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
+    /// A record's version.
+    Record(String),
     /// A balancer's line.
     Line(ident::NodeId),
-    /// An agent's entry.
-    Member(ident::NodeId),
     /// A balancer's entry.
     Balancer(ident::NodeId),
-    /// A record's version.
-    Record(String),
+    /// An agent's entry.
+    Member(ident::NodeId),
 }
 
 #[derive(Clone, Debug)]
@@ -119,7 +119,12 @@
             balancer: tables.own().node,
             incarnation: tables.own().incarnation,
             seq: beat.seq,
-            digest: tables.view_digest(service, exchange::version_of(services, service), now),
+            digest: tables.agent_digest(
+                node,
+                service,
+                exchange::version_of(services, service),
+                now,
+            ),
             version: exchange::highest(services),
             refused,
         })
@@ -162,12 +167,17 @@
         from: SocketAddrV4,
         now: clock::Millis,
     ) -> Vec<Action> {
+        let joining = !tables.is_synced();
+        let noted = self.rumours.clone();
         self.merge(tables, &[], &sync.balancers, now);
         for stone in &sync.tombstones {
             tables.merge_tombstone(stone, now);
         }
         self.merge_members(tables, &sync.members, now);
-        let joining = !tables.is_synced();
+        // What a joining process takes from a peer is news to nobody else.
+        if joining {
+            self.rumours = noted;
+        }
         for line in &sync.lines {
             tables.merge_line(line, now);
             if joining {
