Measure recovery from a failed and a wrongly fast upstream

Change: cargo xtask measure recovery, with and without the retry budget. Conclusion: recovery itself is not run yet.

--- a/xtask/src/app.rs
+++ b/xtask/src/app.rs
@@ -26,7 +26,7 @@
             }
             /// Measures a rule against its absence over a whole fleet.
             ///
-            /// Names: imbalance, flood-bulk, flood-urgent, change.
+            /// Names: imbalance, flood-bulk, flood-urgent, recovery, change.
             /// Exit status 0 if the target was met.
             cmd measure {
                 /// Name of the measurement.
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -15,6 +15,7 @@
 mod change;
 mod flood;
 mod imbalance;
+mod recovery;
 
 const PATIENCE: clock::Millis = clock::Millis(20_000);
 const SILENCE: clock::Millis = clock::Millis(10_000);
@@ -47,6 +48,7 @@
         "imbalance" => imbalance::run(seed).await?,
         "flood-bulk" => flood::bulk(seed).await?,
         "flood-urgent" => flood::urgent(seed).await?,
+        "recovery" => recovery::run(seed).await?,
         "change" => change::run(seed).await?,
         _ => anyhow::bail!("no measurement is named {name}"),
     };
--- /dev/null
+++ b/xtask/src/measure/recovery.rs
@@ -0,0 +1,153 @@
+//! An upstream that answers wrongly fast, and one that fails, with and without retry budget.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use standins::{fleet::Fleet, history, load};
+use tokio::time;
+
+use super::{Finding, Site};
+
+const MAX_RETRIES: f64 = 0.10;
+const NORMAL_AFTER_S: f64 = 3.0;
+const LOAD: f64 = 0.2;
+const WORK_MS: u64 = 200;
+const WARM: Duration = Duration::from_secs(8);
+const FAULT: Duration = Duration::from_secs(5);
+const AFTER: Duration = Duration::from_secs(5);
+const POLL: Duration = Duration::from_millis(100);
+
+/// Failures of one phase.
+struct Phase {
+    sent: u64,
+    failed: u64,
+    last_failure: Duration,
+}
+
+/// Runs both deployments, first without the budget.
+pub(super) async fn run(seed: u64) -> anyhow::Result<Finding> {
+    let mut figures = Vec::new();
+    let mut met = true;
+    for site in super::sites() {
+        for budget in [false, true] {
+            let (fits, found) = measure(&site, seed, budget).await?;
+            println!("{found}");
+            met &= !budget || fits;
+            figures.push(found);
+        }
+    }
+    Ok(Finding {
+        figures: Value::from(figures),
+        target: json!({"retries_of_requests": MAX_RETRIES, "normal_after_s": NORMAL_AFTER_S}),
+        met,
+    })
+}
+
+async fn measure(site: &Site, seed: u64, budget: bool) -> anyhow::Result<(bool, Value)> {
+    let mut fleet = site.start(seed, &json!({"budget": budget})).await?;
+    let load = start(site, &fleet, seed)?;
+    time::sleep(WARM).await;
+    let service = site.urgent.kind.service;
+    let names = fleet
+        .upstreams
+        .iter()
+        .filter(|one| one.plan.service == service);
+    let names: Vec<_> = names.map(|one| one.name.clone()).collect();
+    let (wrong, lost) = (&names[names.len() - 1], &names[names.len() - 2]);
+    fault(&fleet, wrong, true).await?;
+    let during = phase(&load, FAULT).await;
+    fault(&fleet, wrong, false).await?;
+    let after = phase(&load, AFTER).await;
+    let retries = retries(&fleet).await?;
+    fleet.kill_upstream(lost)?;
+    let killed = phase(&load, AFTER).await;
+    let sent: u64 = load.stop().await.iter().map(|one| one.sent).sum();
+    fleet.stop().await?;
+    let retried = ratio(retries, sent);
+    let back = after.last_failure.max(killed.last_failure).as_secs_f64();
+    let found = json!({
+        "deployment": site.deployment.name, "budget": budget,
+        "wrong_fast_share": ratio(during.failed, during.sent),
+        "wrong_fast_normal_after_s": after.last_failure.as_secs_f64(),
+        "killed_share": ratio(killed.failed, killed.sent),
+        "killed_normal_after_s": killed.last_failure.as_secs_f64(),
+        "retries_of_requests": retried, "machine_load": super::machine_load(),
+    });
+    Ok((retried <= MAX_RETRIES && back <= NORMAL_AFTER_S, found))
+}
+
+fn start(site: &Site, fleet: &Fleet, seed: u64) -> anyhow::Result<load::Load> {
+    let mut plans = Vec::new();
+    for kind in [&site.urgent, &site.normal] {
+        let plan = super::plan(kind, WORK_MS, 0.0);
+        let rate = LOAD * site.capacity(&plan)? / 2.0;
+        plans.push(super::plan(&plan, WORK_MS, rate));
+    }
+    let settings = load::Settings {
+        ports: fleet.ports.clone(),
+        seed,
+        label: format!("recovery-{seed}"),
+        patience: super::PATIENCE,
+        silence: super::SILENCE,
+    };
+    Ok(load::Load::start(
+        settings,
+        &plans,
+        &history::Recorder::default(),
+    )?)
+}
+
+async fn fault(fleet: &Fleet, name: &str, wrong_fast: bool) -> anyhow::Result<()> {
+    let mut upstreams = fleet.upstreams.iter();
+    let upstream = upstreams.find(|one| one.name == name);
+    let upstream = upstream.ok_or_else(|| anyhow::anyhow!("no upstream is named {name}"))?;
+    let faults = json!({"wrong_fast": wrong_fast});
+    let control = upstream.upstream.control;
+    Ok(fleet.client.post(control, "/faults", &faults).await?)
+}
+
+async fn phase(load: &load::Load, span: Duration) -> Phase {
+    let start = time::Instant::now();
+    let first = totals(load);
+    let mut known = first;
+    let mut last_failure = Duration::ZERO;
+    while start.elapsed() < span {
+        time::sleep(POLL).await;
+        let now = totals(load);
+        if now.1 > known.1 {
+            last_failure = start.elapsed();
+        }
+        known = now;
+    }
+    Phase {
+        sent: known.0 - first.0,
+        failed: known.1 - first.1,
+        last_failure,
+    }
+}
+
+/// Requests that were sent, and those that failed.
+fn totals(load: &load::Load) -> (u64, u64) {
+    let figures = load.figures();
+    let sent = figures.iter().map(|one| one.sent).sum();
+    let failed = figures.iter().map(|one| one.unknown + one.refused).sum();
+    (sent, failed)
+}
+
+/// Retries that all agents have counted.
+async fn retries(fleet: &Fleet) -> anyhow::Result<u64> {
+    let mut sum = 0;
+    for upstream in &fleet.upstreams {
+        let url = format!("http://{}/metrics", upstream.addr.http);
+        let text = reqwest::get(url).await?.text().await?;
+        let lines = text.lines().filter(|line| line.contains("retries_total "));
+        let counts = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+        sum += counts.sum::<u64>();
+    }
+    Ok(sum)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
