--- a/xtask/src/app.rs
+++ b/xtask/src/app.rs
@@ -24,14 +24,17 @@
                 /// Seconds of load.
                 optional --seconds seconds: u64
             }
-            /// Measures one property and prints a table.
+            /// Measures a rule against its absence over a whole fleet.
+            ///
+            /// Names: imbalance, flood-bulk, flood-urgent, recovery, change, exchange, packets.
+            /// Exit status 0 if the target was met.
             cmd measure {
-                /// exchange or packets.
+                /// Name of the measurement.
                 required name: String
-                /// Seed of all random choices, 1 by default.
-                optional --seed seed: u64
                 /// Prints a JSON object as the last line.
                 optional --json
+                /// Seed of arrivals and fabric, 1 by default.
+                optional --seed seed: u64
             }
         }
     }
@@ -62,9 +65,12 @@
             })
             .await
         }
-        flags::XtaskCmd::Measure(flags) => {
-            let seed = flags.seed.unwrap_or(1);
-            measure::run(&flags.name, seed, flags.json)
+        flags::XtaskCmd::Measure(measure) => {
+            let options = measure::Options {
+                json: measure.json,
+                seed: measure.seed.unwrap_or(1),
+            };
+            measure::run(&measure.name, options).await
         }
     }
 }
