Give a watch's first listing at once; keep upstreams' ledgers in files

Cause: an empty first listing went on to long polls inside Watch::next, so a balancer at an empty platform was configured only after its turn of 6 s; and a killed upstream took its ledger along, so its runs could not be judged. Ruled out: judging a killed upstream's answers as 'unshown', which hides runs. Conclusion: ledgers of killed upstreams count. The fleet tests have not been run on this commit.

--- a/src/watch.rs
+++ b/src/watch.rs
@@ -74,12 +74,14 @@
 
     /// Waits for the next changed objects; older versions may come after newer ones.
     ///
+    /// The first listing is given at once, also where it is empty.
     /// Failures are logged and retried; all objects are listed after one. May
     /// be dropped at any point and called again.
     pub async fn next(&mut self) -> Vec<platform::Object> {
         loop {
+            let is_first = !self.complete;
             match self.step().await {
-                Ok(items) if items.is_empty() => {}
+                Ok(items) if items.is_empty() && !is_first => {}
                 Ok(items) => return items,
                 Err(error) => self.recover(&error).await,
             }
--- a/standins/src/bin/standin/upstream.rs
+++ b/standins/src/bin/standin/upstream.rs
@@ -1,6 +1,6 @@
 //! The upstream stand-in as a process.
 
-use std::{ffi::OsString, net::SocketAddr, time::Duration};
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
 
 use serde_json::json;
 use standins::upstream;
@@ -32,6 +32,8 @@
         optional --cold-requests count: u32
         /// Age of the figures of /load, in milliseconds.
         optional --load-lag-ms lag: u64
+        /// File that gets a line for each run, before its work.
+        optional --ledger path: PathBuf
         /// How long feeds stay after SIGTERM, in milliseconds.
         optional --drain-ms drain: u64
     }
@@ -74,5 +76,6 @@
         load_lag: flags
             .load_lag_ms
             .map_or(default.load_lag, Duration::from_millis),
+        ledger: flags.ledger,
     }
 }
--- a/standins/src/call.rs
+++ b/standins/src/call.rs
@@ -7,9 +7,8 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::history;
-
 const LIMIT: clock::Millis = clock::Millis(10_000);
+const STATUS_LIMIT: clock::Millis = clock::Millis(500);
 const ANSWER_LIMIT: clock::Millis = clock::Millis(2_000);
 
 /// Why a call gave nothing.
@@ -59,6 +58,14 @@
         Ok(())
     }
 
+    /// The configuration as a balancer has it, with the secret of the operators.
+    pub async fn status(&self, http: SocketAddr, token: &str) -> Result<Value, Error> {
+        let call = self.inner.get(format!("http://{http}/v1/status"));
+        let call = call.bearer_auth(token).timeout(STATUS_LIMIT.to_duration());
+        let response = call.send().await?.error_for_status()?;
+        Ok(response.json().await?)
+    }
+
     /// Reads JSON from a process.
     pub async fn get(&self, http: SocketAddr, path: &str) -> Result<Value, Error> {
         let call = self.inner.get(format!("http://{http}{path}"));
@@ -82,25 +89,6 @@
         ports.sort_by(|a, b| a.name.cmp(&b.name));
         Ok(ports.into_iter().map(|one| (one.name, one.port)).collect())
     }
-
-    /// What an upstream ran for callers; calls without identity are the bench's own.
-    pub async fn ledger(
-        &self,
-        upstream: &str,
-        http: SocketAddr,
-    ) -> Result<Vec<history::Execution>, Error> {
-        let listed = self.get(http, "/ledger").await?;
-        let runs: Vec<Run> = serde_json::from_value(listed)?;
-        Ok(runs
-            .into_iter()
-            .filter(|run| !run.id.is_empty())
-            .map(|run| history::Execution {
-                id: run.id,
-                service: run.service,
-                upstream: upstream.to_owned(),
-            })
-            .collect())
-    }
 }
 
 #[derive(Deserialize)]
@@ -108,9 +96,3 @@
     name: String,
     port: SocketAddr,
 }
-
-#[derive(Deserialize)]
-struct Run {
-    id: String,
-    service: String,
-}
--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -20,7 +20,7 @@
 use crate::{
     call, deployment, front, history, host,
     process::{self, Process, Program, Signal},
-    wait,
+    upstream, wait,
 };
 
 /// Secret that operators' calls carry.
@@ -110,8 +110,8 @@
     deployment: deployment::Deployment,
     options: Options,
     started: usize,
-    lost: Vec<String>,
-    saved: Vec<history::Execution>,
+    killed: Vec<String>,
+    ledgers: Vec<String>,
     dir: tempfile::TempDir,
 }
 
@@ -158,8 +158,8 @@
             options,
             client: call::Client::new()?,
             started: 0,
-            lost: Vec::new(),
-            saved: Vec::new(),
+            killed: Vec::new(),
+            ledgers: Vec::new(),
             dir,
         };
         fleet.ports = fleet.client.ports(fleet.fabric).await?;
@@ -226,6 +226,9 @@
     ) -> Result<(), Error> {
         let (agent, addr) = self.start_agent(name, &plan.domain, place).await?;
         let (process, upstream) = self.start_upstream(name, plan, addr.local).await?;
+        if !self.ledgers.iter().any(|known| known == name) {
+            self.ledgers.push(name.to_owned());
+        }
         self.upstreams.push(host::Upstream {
             name: name.to_owned(),
             agent,
@@ -237,22 +240,20 @@
         Ok(())
     }
 
-    /// Stops an upstream gracefully and then its agent, and keeps the upstream's ledger.
+    /// Stops an upstream gracefully and then its agent.
     pub async fn stop_upstream(&mut self, name: &str) -> Result<(), Error> {
         let index = self.upstream(name)?;
-        self.save_ledger(index).await;
-        self.upstreams[index].process.signal(Signal::Term);
-        self.follow_ledger(index).await?;
+        self.upstreams[index].process.stop().await?;
         self.upstreams[index].agent.stop().await?;
         self.upstreams.remove(index);
         Ok(())
     }
 
-    /// Kills an upstream host, agent and upstream; what the upstream ran is lost.
+    /// Kills an upstream host, agent and upstream; the upstream's ledger stays.
     pub fn kill_upstream(&mut self, name: &str) -> Result<(), Error> {
         let index = self.upstream(name)?;
         self.upstreams.remove(index);
-        self.lost.push(name.to_owned());
+        self.killed.push(name.to_owned());
         Ok(())
     }
 
@@ -317,15 +318,9 @@
         Ok(())
     }
 
-    /// Runs the operator tool against a live balancer and gives what it wrote to its output.
+    /// Runs the operator tool against live balancers and gives what it wrote to its output.
     pub async fn operator(&self, args: &[&str]) -> Result<String, Error> {
-        let balancer = self.balancers.last();
-        let balancer = balancer.ok_or_else(|| Error::Name("balancer".to_owned()))?;
-        let mut all: Vec<OsString> = vec!["--balancer".into()];
-        all.push(balancer.addr.http.to_string().into());
-        all.extend(args.iter().map(OsString::from));
-        let variables = [("CASSIACROSS_TOKEN", OPERATOR_TOKEN)];
-        let output = process::output(Program::Operator, all, &variables).await?;
+        let output = self.try_operator(args).await?;
         if output.status.success() {
             return Ok(String::from_utf8_lossy(&output.stdout).into_owned());
         }
@@ -335,23 +330,38 @@
         })
     }
 
-    /// What all upstreams ran, with those that were stopped before.
-    pub async fn ledger(&self) -> Result<history::Ledger, Error> {
-        let mut ledger = history::Ledger {
-            executions: self.saved.clone(),
-            lost: self.lost.clone(),
-        };
-        for upstream in &self.upstreams {
-            let runs = self
-                .client
-                .ledger(&upstream.name, upstream.upstream.control)
-                .await?;
-            ledger.executions.extend(runs);
+    /// Runs the operator tool against live balancers, the newest first, whatever comes of it.
+    pub async fn try_operator(&self, args: &[&str]) -> Result<std::process::Output, Error> {
+        let mut all: Vec<OsString> = Vec::new();
+        for balancer in self.balancers.iter().rev() {
+            all.push("--balancer".into());
+            all.push(balancer.addr.http.to_string().into());
+        }
+        all.extend(args.iter().map(OsString::from));
+        let variables = [("CASSIACROSS_TOKEN", OPERATOR_TOKEN)];
+        Ok(process::output(Program::Operator, all, &variables).await?)
+    }
+
+    /// What all upstreams ran, also those that were stopped or killed.
+    ///
+    /// Upstreams write a run before they work on it, so this is whole at any time.
+    pub fn ledger(&self) -> Result<history::Ledger, Error> {
+        let mut ledger = history::Ledger::default();
+        for name in &self.ledgers {
+            let path = self.ledger_path(name);
+            ledger
+                .executions
+                .extend(upstream::read_ledger(name, &path)?);
         }
-        ledger.lost.sort();
         Ok(ledger)
     }
 
+    /// Upstreams whose hosts were killed.
+    #[must_use]
+    pub fn killed(&self) -> &[String] {
+        &self.killed
+    }
+
     /// TCP port of a service at the fabric.
     pub fn port(&self, service: &str) -> Result<SocketAddr, Error> {
         self.ports
@@ -479,8 +489,11 @@
         plan: &host::Plan,
         local: SocketAddr,
     ) -> Result<(Process, host::UpstreamAddr), Error> {
+        let ledger = self.ledger_path(name);
         let args = [
             "upstream",
+            "--ledger",
+            &ledger.to_string_lossy(),
             "--name",
             name,
             "--service",
@@ -559,30 +572,12 @@
         Ok(())
     }
 
-    /// Reads a stopping upstream's ledger until it ends; the last whole reading counts.
-    async fn follow_ledger(&mut self, index: usize) -> Result<(), Error> {
-        let clock = clock::Clock::new();
-        while self.upstreams[index].process.is_running() {
-            self.save_ledger(index).await;
-            tokio::task::yield_now().await;
-            if clock.now() > process::LIMIT {
-                break;
-            }
-        }
-        self.upstreams[index].process.ended(process::LIMIT).await?;
-        Ok(())
-    }
-
-    async fn save_ledger(&mut self, index: usize) {
-        let upstream = &self.upstreams[index];
-        let name = upstream.name.clone();
-        if let Ok(runs) = self.client.ledger(&name, upstream.upstream.control).await {
-            self.saved.retain(|run| run.upstream != name);
-            self.saved.extend(runs);
-        }
+    fn ledger_path(&self, upstream: &str) -> PathBuf {
+        self.dir.path().join(format!("{upstream}.ledger"))
     }
 
-    fn write(&self, name: &str, value: &Value) -> Result<PathBuf, Error> {
+    /// Writes JSON to a file of the fleet's folder.
+    pub fn write(&self, name: &str, value: &Value) -> Result<PathBuf, Error> {
         let path = self.dir.path().join(format!("{name}.json"));
         fs::write(&path, value.to_string())?;
         Ok(path)
--- a/standins/src/history.rs
+++ b/standins/src/history.rs
@@ -77,6 +77,8 @@
     Completed(Outcome),
     /// A feed sent its first line.
     Opened,
+    /// A feed is served by the named upstream.
+    Placed(String),
     /// A feed ended though its caller wanted it.
     Broken(String),
     /// A feed was ended by its caller.
@@ -194,6 +196,12 @@
         });
     }
 
+    /// The time by the recorder's clock.
+    #[must_use]
+    pub fn now(&self) -> clock::Millis {
+        self.clock.now()
+    }
+
     /// The events so far, in the order of their times.
     #[must_use]
     pub fn events(&self) -> Vec<Event> {
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -299,6 +299,8 @@
             return self.not_opened(process, &id, outcome);
         }
         recorder.record(process, &id, Action::Opened);
+        let upstream = exchange::answer(&response).upstream;
+        recorder.record(process, &id, Action::Placed(upstream));
         self.count(|figures| figures.open += 1);
         let broken = self.read_feed(response, &id).await;
         self.count(|figures| {
--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -6,8 +6,10 @@
 
 use std::{
     convert::Infallible,
-    io,
+    fs,
+    io::{self, Write},
     net::{Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
     pin,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
@@ -36,6 +38,8 @@
     time,
 };
 
+use crate::history;
+
 const DEFAULT_WORK_MS: f64 = 20.0;
 const COLD_FACTOR: f64 = 10.0;
 const FEED_PERIOD: Duration = Duration::from_millis(100);
@@ -64,6 +68,8 @@
     pub cold_requests: u32,
     /// Age of the figures of `/load`.
     pub load_lag: Duration,
+    /// File that gets a line for each run, before its work.
+    pub ledger: Option<PathBuf>,
 }
 
 impl Default for Options {
@@ -79,6 +85,7 @@
             speed: 1.0,
             cold_requests: 0,
             load_lag: Duration::ZERO,
+            ledger: None,
         }
     }
 }
@@ -141,6 +148,7 @@
     slots: Semaphore,
     faults: Mutex<Faults>,
     ledger: Mutex<Vec<Execution>>,
+    file: Option<fs::File>,
     cold: AtomicU32,
     requests: AtomicUsize,
     feeds: AtomicUsize,
@@ -156,11 +164,13 @@
 pub async fn start(options: Options) -> io::Result<Running> {
     let requests = TcpListener::bind(options.http).await?;
     let control = TcpListener::bind(options.control).await?;
+    let file = options.ledger.as_deref().map(open_ledger).transpose()?;
     let state = Arc::new(State {
         clock: clock::Clock::new(),
         slots: Semaphore::new(options.slots),
         faults: Mutex::default(),
         ledger: Mutex::default(),
+        file,
         cold: AtomicU32::new(options.cold_requests),
         requests: AtomicUsize::new(0),
         feeds: AtomicUsize::new(0),
@@ -181,6 +191,22 @@
     Ok(running)
 }
 
+/// Reads the runs that an upstream wrote to its file; calls without identity are left out.
+pub fn read_ledger(upstream: &str, path: &Path) -> io::Result<Vec<history::Execution>> {
+    let mut runs = Vec::new();
+    for line in fs::read_to_string(path)?.lines() {
+        let run: Execution = serde_json::from_str(line)?;
+        if !run.id.is_empty() {
+            runs.push(history::Execution {
+                id: run.id,
+                service: run.service,
+                upstream: upstream.to_owned(),
+            });
+        }
+    }
+    Ok(runs)
+}
+
 /// Announces an upstream to its agent each second, until it has ended and said so.
 pub async fn announce(running: Running, agent: SocketAddr) {
     let client = reqwest::Client::new();
@@ -204,6 +230,10 @@
     }
 }
 
+fn open_ledger(path: &Path) -> io::Result<fs::File> {
+    fs::OpenOptions::new().create(true).append(true).open(path)
+}
+
 impl Running {
     /// What has run, in the order of its start.
     #[must_use]
@@ -366,7 +396,7 @@
     let received = body.collect().await.map_err(io::Error::other)?;
     let received = received.to_bytes().len();
     let slot = state.slots.acquire().await.map_err(io::Error::other)?;
-    let index = state.begin(&parts.headers);
+    let index = state.begin(&parts.headers)?;
     time::sleep(state.work(&parts.headers, faults)).await;
     state.end(index);
     drop(slot);
@@ -469,16 +499,22 @@
 }
 
 impl State {
-    fn begin(&self, headers: &HeaderMap) -> usize {
+    /// Writes a run down, so that it counts also where the process is killed in its midst.
+    fn begin(&self, headers: &HeaderMap) -> io::Result<usize> {
         let mut ledger = lock(&self.ledger);
-        ledger.push(Execution {
+        let execution = Execution {
             id: text(headers, "x-request-id").to_owned(),
             started_ms: self.clock.now().0,
             ended_ms: None,
             service: self.options.service.clone(),
             deadline_ms: text(headers, outcome::DEADLINE.as_str()).parse().ok(),
-        });
-        ledger.len() - 1
+        };
+        if let Some(mut file) = self.file.as_ref() {
+            let line = format!("{}\n", json!(execution));
+            file.write_all(line.as_bytes())?;
+        }
+        ledger.push(execution);
+        Ok(ledger.len() - 1)
     }
 
     fn end(&self, index: usize) {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -44,7 +44,7 @@
 
 async fn report(fleet: &Fleet, load: load::Load, recorder: &history::Recorder) -> history::Report {
     load.stop().await;
-    let ledger = fleet.ledger().await.expect("upstreams tell what they ran");
+    let ledger = fleet.ledger().expect("upstreams tell what they ran");
     history::check(&recorder.events(), &ledger)
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -304,6 +304,18 @@
     );
 }
 
+#[tokio::test]
+async fn first_listing_is_given_at_once_when_empty() {
+    let fixture = Fixture::start().await;
+    let mut watch = fixture.watch(watch::RELIST);
+    let long_poll = time::sleep(watch::WAIT.to_duration() / 2);
+    tokio::select! {
+        objects = watch.next() => assert_eq!(objects, []),
+        () = long_poll => panic!("the first listing waits for a change"),
+    }
+    assert!(watch.has_listed());
+}
+
 #[tokio::test]
 async fn watch_lists_everything_after_an_outage() {
     let fixture = Fixture::start().await;
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -58,7 +58,7 @@
     let load = load::Load::start(settings(&fleet, options.seed), &plans, &recorder)?;
     work(&mut fleet, &load, seconds(options)).await?;
     let figures = load.stop().await;
-    let report = history::check(&recorder.events(), &fleet.ledger().await?);
+    let report = history::check(&recorder.events(), &fleet.ledger()?);
     let elapsed = clock.now();
     fleet.stop().await?;
     print_summary(&figures, &report);
