--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod app;
 mod demo;
 mod measure;
+mod prove;
 mod release;
 
 fn main() -> ExitCode {
