--- /dev/null
+++ b/tests/proof_flows.rs
@@ -0,0 +1,250 @@
+//! Proofs with real processes that flows outlive planned changes and reach their own service.
+
+use cassiacross::clock;
+use serde_json::{Value, json};
+use standins::{
+    deployment, faults,
+    fleet::{self, Fleet},
+    history, host, load,
+    process::Signal,
+    proxy, wait,
+};
+
+const PERIOD: clock::Millis = clock::Millis(150);
+const PATIENCE: clock::Millis = clock::Millis(30_000);
+const SILENCE: clock::Millis = clock::Millis(6_000);
+const FEEDS: u32 = 8;
+const LOSS: faults::Faults = faults::Faults {
+    drop: 0.02,
+    delay_ms: 0,
+    reorder_ms: 5,
+    duplicate: 0.02,
+    corrupt: 0.0,
+};
+const NOISE: faults::Faults = faults::Faults {
+    drop: 0.0,
+    delay_ms: 0,
+    reorder_ms: 5,
+    duplicate: 0.2,
+    corrupt: 0.05,
+};
+
+/// A fleet behind proxies, under load.
+struct Bench {
+    fleet: Fleet,
+    proxies: proxy::fleet::Proxies,
+    recorder: history::Recorder,
+    load: load::Load,
+}
+
+impl Bench {
+    async fn start(balancers: usize) -> Self {
+        let proxies = proxy::fleet::Proxies::new(11);
+        let options = fleet::Options {
+            period: PERIOD,
+            interposer: Some(proxies.interposer()),
+            ..fleet::Options::default()
+        };
+        let mut deployment = deployment::small();
+        deployment.balancers = balancers;
+        let fleet = Fleet::start(deployment, options).await;
+        let fleet = fleet.expect("the fleet starts");
+        let recorder = history::Recorder::default();
+        let settings = load::Settings {
+            ports: fleet.ports.clone(),
+            seed: 1,
+            label: "flows".to_owned(),
+            patience: PATIENCE,
+            silence: SILENCE,
+        };
+        let plans = [
+            deployment::open(deployment::pickup(), 10.0),
+            deployment::open(deployment::stock_read(), 10.0),
+            deployment::open(deployment::sheet(), 3.0),
+            deployment::feeds(deployment::stock_feed(), FEEDS),
+        ];
+        let load = load::Load::start(settings, &plans, &recorder);
+        let bench = Self {
+            fleet,
+            proxies,
+            recorder,
+            load: load.expect("each service has a port"),
+        };
+        bench.opened().await;
+        bench
+    }
+
+    async fn opened(&self) {
+        wait::until("all feeds", wait::LIMIT, async || {
+            self.load.figures()[3].open == u64::from(FEEDS)
+        })
+        .await
+        .expect("all feeds open");
+    }
+
+    /// Waits until each kind of request has been carried again.
+    async fn carried(&self) {
+        let before = self.load.figures();
+        wait::until("answers of each kind", wait::LIMIT, async || {
+            let now = self.load.figures();
+            let mut pairs = now.iter().zip(&before).take(3);
+            pairs.all(|(now, before)| now.answered >= before.answered + 3)
+        })
+        .await
+        .expect("callers are answered");
+    }
+
+    async fn operator(&self, args: &[&str]) {
+        let done = self.fleet.operator(args).await;
+        done.expect("the operator's change is accepted");
+        self.carried().await;
+    }
+
+    async fn add_upstream(&mut self, name: &str, service: &str) {
+        let plan = host::Plan {
+            service: service.to_owned(),
+            domain: "valley-a".to_owned(),
+            slots: 4,
+            connections: 2_000,
+            speed: 2.0,
+        };
+        let added = self.fleet.add_upstream(name, &plan, host::Place::default());
+        added.await.expect("an upstream starts");
+        self.agent_is(name, "ready").await;
+    }
+
+    async fn agent_is(&self, name: &str, state: &str) {
+        let mut upstreams = self.fleet.upstreams.iter();
+        let upstream = upstreams
+            .find(|one| one.name == name)
+            .expect("a known upstream");
+        let http = upstream.addr.http.into();
+        wait::until(state, wait::LIMIT, async || {
+            let dump = self.fleet.client.state(http).await;
+            dump.is_ok_and(|dump| dump["member"]["state"] == state)
+        })
+        .await
+        .expect("the agent's state changes");
+    }
+
+    fn record(&self, name: &str) -> Value {
+        let service = self.fleet.deployment().service(name);
+        service.expect("a known service").record.clone()
+    }
+
+    /// Lets feeds run for longer than a caller bears silence, and judges what was seen.
+    async fn judge(self) -> history::Report {
+        tokio::time::sleep(SILENCE.to_duration()).await;
+        self.carried().await;
+        self.load.stop().await;
+        let ledger = self.fleet.ledger().await;
+        let ledger = ledger.expect("upstreams tell what they ran");
+        let report = history::check(&self.recorder.events(), &ledger);
+        println!("{report}");
+        report
+    }
+}
+
+fn assert_whole(report: &history::Report) {
+    assert_eq!(report.violations, [], "{report}");
+    assert_eq!(report.feeds, FEEDS as usize, "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_survive_drains_and_additions_under_loss() {
+    let mut bench = Bench::start(2).await;
+    bench.proxies.disturb(LOSS);
+    bench.operator(&["drain", "ledger-1"]).await;
+    bench.add_upstream("ledger-4", "ledger").await;
+    bench.operator(&["drain", "ledger-2"]).await;
+    bench.operator(&["undrain", "ledger-1"]).await;
+    bench.operator(&["drain", "ledger-3"]).await;
+    bench.add_upstream("ledger-5", "ledger").await;
+    assert_whole(&bench.judge().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_survive_a_drain_that_one_balancer_does_not_hear_of() {
+    let bench = Bench::start(2).await;
+    bench.proxies.isolate("balancer-1", true);
+    bench.operator(&["drain", "ledger-1"]).await;
+    bench.operator(&["drain", "ledger-2"]).await;
+    bench.proxies.isolate("balancer-1", false);
+    bench.operator(&["undrain", "ledger-1"]).await;
+    assert_whole(&bench.judge().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_survive_replacement_of_each_balancer_twice_over() {
+    let mut bench = Bench::start(2).await;
+    bench.proxies.disturb(LOSS);
+    for index in 1..=4 {
+        let name = format!("balancer-{index}");
+        let replaced = bench.fleet.replace_balancer(&name).await;
+        replaced.expect("a balancer takes the other's place");
+        bench.carried().await;
+    }
+    assert_whole(&bench.judge().await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn feeds_survive_a_move_of_their_address() {
+    let bench = Bench::start(2).await;
+    let mut record = bench.record("ledger");
+    record["address"] = json!("10.9.0.77:80");
+    let applied = bench.fleet.apply("ledger", &record).await;
+    applied.expect("the record is accepted");
+    let services = json!([{"name": "ledger", "address": "10.9.0.77:80"}]);
+    println!("{services}");
+    tokio::time::sleep(SILENCE.to_duration() * 2).await;
+    assert_eq!(bench.load.figures()[3].broken, 0, "feeds broke");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn packets_stay_with_their_service_when_an_agents_address_is_taken_over() {
+    let mut bench = Bench::start(2).await;
+    bench.proxies.disturb(NOISE);
+    let intake = bench.fleet.upstreams[0].addr.packets.into();
+    bench.proxies.divert("ledger-1", intake);
+    bench.carried().await;
+    bench.carried().await;
+    let stopped = bench.fleet.stop_upstream("intake-2").await;
+    stopped.expect("an upstream stops gracefully");
+    bench.load.stop().await;
+    let ledger = bench
+        .fleet
+        .ledger()
+        .await
+        .expect("upstreams tell what they ran");
+    let report = history::check(&bench.recorder.events(), &ledger);
+    println!("{report}");
+    assert_eq!(report.wrong_service(), 0, "{report}");
+    let client = &bench.fleet.client;
+    let dump = client
+        .state(bench.fleet.upstreams[0].addr.http.into())
+        .await;
+    let flows = dump.expect("an agent dumps its state")["flows"]["owned"].clone();
+    let foreign = |flow: &Value| flow["flow"]["service"] == "10.9.0.1:80";
+    let owned = flows.as_array().expect("a list of flows");
+    assert!(!owned.iter().any(foreign), "{owned:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stops_of_two_processes_cut_no_request() {
+    let mut bench = Bench::start(3).await;
+    let signal = |fleet: &mut Fleet, name: &str| {
+        let sent = fleet.signal(name, Signal::Term);
+        sent.expect("a known process");
+    };
+    signal(&mut bench.fleet, "balancer-1");
+    signal(&mut bench.fleet, "agent-ledger-1");
+    bench.agent_is("ledger-1", "draining").await;
+    bench.carried().await;
+    signal(&mut bench.fleet, "balancer-2");
+    signal(&mut bench.fleet, "agent-ledger-2");
+    bench.agent_is("ledger-2", "draining").await;
+    bench.carried().await;
+    let report = bench.judge().await;
+    assert_whole(&report);
+    assert_eq!(report.requests, report.answered, "{report}");
+}
