Test the list ahead of a watch; alarm only on versions

Cause: a digest that a peer told earlier differs from its records after each change, so comparing it with an answer of now would alarm falsely. Ruled out: asking twice, which only makes the false alarm rarer. Change: processes that answered are compared record by record and version by version; a told digest counts only for one that was not asked. A test of the empty list ahead of the first watch.

--- a/src/bin/cassiacross/lag.rs
+++ b/src/bin/cassiacross/lag.rs
@@ -58,12 +58,16 @@
     agents
 }
 
-/// Processes that a balancer knows of and that told another digest than its own.
+/// Processes that were not asked and that told a balancer another digest than its own.
+///
+/// The records of those that answered are compared one by one instead: a
+/// digest that a peer told earlier differs from it after each change.
 pub(crate) fn differing(asked: &[Asked]) -> Vec<String> {
     let statuses = asked.iter().filter_map(|asked| asked.status.as_ref());
     let mut names: Vec<_> = statuses
         .flat_map(|status| status.peers.iter().map(move |peer| (peer, status.digest)))
         .filter(|(peer, digest)| peer.digest.is_some_and(|other| other != *digest))
+        .filter(|(peer, _)| !has_answered(asked, &peer.name))
         .map(|(peer, _)| peer.name.clone())
         .collect();
     names.sort_unstable();
@@ -71,6 +75,11 @@
     names
 }
 
+fn has_answered(asked: &[Asked], name: &str) -> bool {
+    let mut statuses = asked.iter().filter_map(|asked| asked.status.as_ref());
+    statuses.any(|status| status.name == name)
+}
+
 fn row(name: &str, statuses: &[&admin::Status]) -> Row {
     let standings: Vec<_> = statuses
         .iter()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -304,6 +304,18 @@
     );
 }
 
+#[tokio::test]
+async fn empty_list_is_given_before_a_watch() {
+    let fixture = Fixture::start().await;
+    let mut watch = fixture.watch(watch::RELIST);
+    assert_eq!(watch.next().await, []);
+    assert!(watch.has_listed());
+    let calls = reqwest::get(format!("{}/calls", fixture.base)).await;
+    let calls = calls.expect("answer").json::<Value>().await;
+    let calls = calls.expect("counts");
+    assert_eq!((&calls["list"], &calls["watch"]), (&json!(1), &json!(0)));
+}
+
 #[tokio::test]
 async fn watch_lists_everything_after_an_outage() {
     let fixture = Fixture::start().await;
