Let each balancer without records ask the platform itself

Change: until it is configured, a balancer follows the platform whatever its place among the watchers.

--- a/src/bin/cassiacross-balancer/configuration.rs
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -16,7 +16,7 @@
 pub(crate) async fn follow(shared: shared::Shared, client: platform::Client, period: Duration) {
     let mut watch = watch::Watch::new(client, platform::RECORDS, watch::RELIST, rand::random());
     loop {
-        if !is_watcher(&shared) {
+        if shared.is_configured() && !is_watcher(&shared) {
             time::sleep(period).await;
             continue;
         }
