--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -305,15 +305,15 @@
 }
 
 #[tokio::test]
-async fn first_listing_is_given_at_once_when_empty() {
+async fn empty_list_is_given_before_a_watch() {
     let fixture = Fixture::start().await;
     let mut watch = fixture.watch(watch::RELIST);
-    let long_poll = time::sleep(watch::WAIT.to_duration() / 2);
-    tokio::select! {
-        objects = watch.next() => assert_eq!(objects, []),
-        () = long_poll => panic!("the first listing waits for a change"),
-    }
+    assert_eq!(watch.next().await, []);
     assert!(watch.has_listed());
+    let calls = reqwest::get(format!("{}/calls", fixture.base)).await;
+    let calls = calls.expect("answer").json::<Value>().await;
+    let calls = calls.expect("counts");
+    assert_eq!((&calls["list"], &calls["watch"]), (&json!(1), &json!(0)));
 }
 
 #[tokio::test]
