--- a/xtask/src/measure/recovery.rs
+++ b/xtask/src/measure/recovery.rs
@@ -63,7 +63,7 @@
     let killed = phase(&load, AFTER).await;
     let sent: u64 = load.stop().await.iter().map(|one| one.sent).sum();
     fleet.stop().await?;
-    let retried = ratio(retries, sent);
+    let retry_share = ratio(retries, sent);
     let back = after.last_failure.max(killed.last_failure).as_secs_f64();
     let found = json!({
         "deployment": site.deployment.name, "budget": budget,
@@ -71,9 +71,9 @@
         "wrong_fast_normal_after_s": after.last_failure.as_secs_f64(),
         "killed_share": ratio(killed.failed, killed.sent),
         "killed_normal_after_s": killed.last_failure.as_secs_f64(),
-        "retries_of_requests": retried, "machine_load": super::machine_load(),
+        "retries_of_requests": retry_share, "machine_load": super::machine_load(),
     });
-    Ok((retried <= MAX_RETRIES && back <= NORMAL_AFTER_S, found))
+    Ok((retry_share <= MAX_RETRIES && back <= NORMAL_AFTER_S, found))
 }
 
 fn start(site: &Site, fleet: &Fleet, seed: u64) -> anyhow::Result<load::Load> {
