Test that an upstream's ledger file outlives a kill

Cause: the ledger file had no test of its own. Ruled out: nothing else changes. Change: ledger_file_outlives_a_kill kills the stand-in in the midst of a run and reads the run from the file. Conclusion: runs of killed upstreams count.

--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -86,6 +86,28 @@
     assert!(status.expect("task ends").expect("process ends").success());
 }
 
+#[tokio::test]
+async fn ledger_file_outlives_a_kill() {
+    let dir = tempfile::tempdir().expect("folder is made");
+    let path = dir.path().join("ledger");
+    let (mut process, ports) = start(&["--ledger", &path.to_string_lossy()]);
+    let request = reqwest::Client::new()
+        .post(format!("http://{}/pickups", ports.http))
+        .header("x-request-id", "id")
+        .header("x-work-ms", "600000");
+    let running = tokio::spawn(request.send());
+    let begun = async {
+        while upstream::read_ledger("upstream-1", &path).is_ok_and(|runs| runs.is_empty()) {
+            time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    time::timeout(LIMIT, begun).await.expect("request starts");
+    process.0.kill().expect("process is killed");
+    assert!(running.await.expect("task ends").is_err());
+    let runs = upstream::read_ledger("upstream-1", &path).expect("ledger is there");
+    assert_eq!((runs.len(), runs[0].id.as_str()), (1, "id"));
+}
+
 #[tokio::test]
 async fn announcement_says_draining_after_sigterm() {
     let agent = TcpListener::bind("127.0.0.1:0")
