--- a/standins/tests/upstream.rs
+++ b/standins/tests/upstream.rs
@@ -103,7 +103,8 @@
     };
     time::timeout(LIMIT, begun).await.expect("request starts");
     process.0.kill().expect("process is killed");
-    assert!(running.await.expect("task ends").is_err());
+    let answer = running.await.expect("task ends");
+    answer.expect_err("the upstream was killed");
     let runs = upstream::read_ledger("upstream-1", &path).expect("ledger is there");
     assert_eq!((runs.len(), runs[0].id.as_str()), (1, "id"));
 }
