--- a/src/admin.rs
+++ b/src/admin.rs
@@ -35,7 +35,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::{backoff, change, config, drain, platform, record, reply};
+use crate::{backoff, change, config, drain, moves, platform, record, reply};
 
 /// Header that names the change.
 pub const CHANGE: &str = "cassiacross-change";
@@ -325,7 +325,14 @@
             }
             Err(error) => return Err(reply::Reply::faults(&error)),
         }
-        Ok(self.admin.change(&request, |_| Ok(document.clone())).await)
+        let edit = |before: Option<&Value>| {
+            let mut document = document.clone();
+            if let Some(before) = before {
+                moves::carry(before, &mut document);
+            }
+            Ok(document)
+        };
+        Ok(self.admin.change(&request, edit).await)
     }
 
     async fn delete(&self) -> Result<reply::Reply, reply::Reply> {
--- a/src/forward.rs
+++ b/src/forward.rs
@@ -66,18 +66,26 @@
 
     /// The routes for the services and agents now in force.
     ///
-    /// Tables whose candidates did not change are shared with these routes;
-    /// of two services with one address the first by name has it.
+    /// Tables whose candidates did not change are shared with these routes; of two
+    /// services with one address the first by name has it. A service keeps its former
+    /// addresses, for the flows that use them, until another one has them.
     #[must_use]
     pub fn rebuild<'a>(
         &self,
         services: impl IntoIterator<Item = &'a record::Service>,
         candidates: impl Fn(&record::Service) -> Vec<table::Candidate>,
     ) -> Self {
-        let mut routes: Vec<_> = services
-            .into_iter()
-            .map(|service| self.route(service, &candidates(service)))
-            .collect();
+        let mut routes = Vec::new();
+        let mut former = Vec::new();
+        for service in services {
+            let route = self.route(service, &candidates(service));
+            former.extend(service.former.iter().map(|address| Route {
+                address: *address,
+                ..route.clone()
+            }));
+            routes.push(route);
+        }
+        routes.append(&mut former);
         routes.sort_by_key(|route| route.address);
         routes.dedup_by_key(|route| route.address);
         Self { routes }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod member;
 pub mod membership;
 pub mod metrics;
+pub mod moves;
 pub mod outcome;
 pub mod packet;
 pub mod platform;
--- a/src/record.rs
+++ b/src/record.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::{clock, fields};
+use crate::{clock, fields, moves};
 
 /// The newest schema that this code reads.
 pub const SCHEMA: u64 = 2;
@@ -125,6 +125,9 @@
     pub rules: Vec<Rule>,
     /// Deadline of requests that no rule names.
     pub deadline: clock::Millis,
+    /// Addresses that flows from before a move still use, see [`crate::moves`].
+    #[serde(default)]
+    pub former: Vec<SocketAddrV4>,
 }
 
 impl Service {
@@ -200,6 +203,7 @@
     let address = reader.parsed("address");
     let protocol = protocol(&mut reader);
     let deadline = deadline(&mut reader, DEFAULT_DEADLINE);
+    let former = former(&mut reader);
     let (mut weights, rules) = match schema {
         Some(1) => (
             named_weights(&mut reader),
@@ -221,10 +225,20 @@
             weights,
             rules,
             deadline,
+            former,
         })
     })
 }
 
+fn former(reader: &mut fields::Reader<'_>) -> Vec<SocketAddrV4> {
+    let former = reader.list(moves::FIELD);
+    if former.len() > moves::MAX_FORMER {
+        let what = format!("must be at most {} addresses", moves::MAX_FORMER);
+        reader.fault(moves::FIELD, &what);
+    }
+    former
+}
+
 fn check_name(reader: &mut fields::Reader<'_>, name: &str) {
     if reader.value("name").is_some_and(|value| value != name) {
         reader.fault("name", &format!("must be {name:?} or left out"));
--- a/src/views.rs
+++ b/src/views.rs
@@ -78,11 +78,19 @@
         if self.address() == Some(address) {
             return Some(&self.table);
         }
-        let index = self
+        let successor = self
             .successors
-            .binary_search_by_key(&address, |entry| entry.address)
-            .ok()?;
-        Some(&self.successors[index].table)
+            .binary_search_by_key(&address, |entry| entry.address);
+        match successor {
+            Ok(index) => Some(&self.successors[index].table),
+            Err(_) if self.is_former(address) => Some(&self.table),
+            Err(_) => None,
+        }
+    }
+
+    fn is_former(&self, address: SocketAddrV4) -> bool {
+        let service = self.service.as_ref();
+        service.is_some_and(|service| service.former.contains(&address))
     }
 
     /// The service's address in force.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,6 +78,7 @@
             weights: Vec::new(),
             rules: Vec::new(),
             deadline: clock::Millis(1_000),
+            former: Vec::new(),
         }),
     }
 }
--- a/tests/forward.rs
+++ b/tests/forward.rs
@@ -108,8 +108,8 @@
 }
 
 #[parameterized(
-    ready = { member::State::Ready, 1.0, 4, Some(2.0) },
-    weighted = { member::State::Ready, 0.5, 8, Some(2.0) },
+    ready = { member::State::Ready, 1.0, member::step(2.0), Some(2.0) },
+    weighted = { member::State::Ready, 0.5, member::step(4.0), Some(2.0) },
     without_weight = { member::State::Ready, 0.0, 4, None },
     starting = { member::State::Starting, 1.0, 4, None },
     draining = { member::State::Draining, 1.0, 4, None },
@@ -195,3 +195,30 @@
     assert_eq!(route.service, ident::ServiceId::of("sheets"));
     assert_eq!(route.table.chain(1).count(), 0);
 }
+
+#[test]
+fn former_address_leads_to_its_service_until_another_has_it() {
+    let moved = record::Service {
+        address: address(90),
+        former: vec![address(80)],
+        ..services().remove(0)
+    };
+    let sheets = record::Service {
+        name: "sheets".to_owned(),
+        address: address(81),
+        former: Vec::new(),
+        ..moved.clone()
+    };
+    let owner = |routes: &forward::Routes| routes.find(address(80)).map(|route| route.service);
+    let routes = routes(
+        &[moved.clone(), sheets.clone()],
+        &members(&[member::State::Ready]),
+    );
+    assert_eq!(owner(&routes), Some(ident::ServiceId::of("ledger")));
+    let taken = record::Service {
+        address: address(80),
+        ..sheets
+    };
+    let routes = routes.rebuild([&moved, &taken], |_| Vec::new());
+    assert_eq!(owner(&routes), Some(ident::ServiceId::of("sheets")));
+}
--- /dev/null
+++ b/tests/moves.rs
@@ -0,0 +1,59 @@
+//! Former addresses of moved services.
+
+use cassiacross::{moves, record};
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn stored(address: &str, former: Value) -> Value {
+    json!({ "schema": 2, "address": address, "former": former })
+}
+
+#[parameterized(
+    same = { json!({"address": "10.0.0.1:80"}), json!({"address": "10.0.0.1:80"}), Value::Null },
+    moved = {
+        json!({"address": "10.0.0.1:80"}), json!({"address": "10.0.0.2:80"}),
+        json!(["10.0.0.1:80"])
+    },
+    moved_again = {
+        stored("10.0.0.2:80", json!(["10.0.0.1:80"])), json!({"address": "10.0.0.3:80"}),
+        json!(["10.0.0.1:80", "10.0.0.2:80"])
+    },
+    moved_back = {
+        stored("10.0.0.2:80", json!(["10.0.0.1:80"])), json!({"address": "10.0.0.1:80"}),
+        json!(["10.0.0.2:80"])
+    },
+    given_list = {
+        stored("10.0.0.2:80", json!(["10.0.0.1:80"])), stored("10.0.0.2:80", json!([])),
+        json!([])
+    },
+    deleted_before = { json!({"deleted": true}), json!({"address": "10.0.0.2:80"}), Value::Null },
+)]
+fn carry(before: Value, after: Value, expected: Value) {
+    let mut after = after;
+    moves::carry(&before, &mut after);
+    assert_eq!(after.get(moves::FIELD).unwrap_or(&Value::Null), &expected);
+}
+
+#[test]
+fn list_has_a_bound_and_the_oldest_goes_first() {
+    let mut record = json!({ "address": "10.0.0.1:80" });
+    for host in 2..20 {
+        let mut next = json!({ "schema": 2, "address": format!("10.0.0.{host}:80") });
+        moves::carry(&record, &mut next);
+        record = next;
+    }
+    let former = record[moves::FIELD].as_array().expect("there is a list");
+    assert_eq!(former.len(), moves::MAX_FORMER);
+    assert_eq!(former.last(), Some(&json!("10.0.0.18:80")));
+    assert!(record::parse("ledger", &record).is_ok());
+}
+
+#[test]
+fn too_long_list_is_a_fault() {
+    let former = vec!["10.0.0.1:80"; moves::MAX_FORMER + 1];
+    let record = stored("10.0.0.2:80", json!(former));
+    assert!(matches!(
+        record::parse("ledger", &record),
+        Err(record::Error::Faults(_))
+    ));
+}
--- a/tests/proof_flows.rs
+++ b/tests/proof_flows.rs
@@ -161,7 +161,7 @@
 
     /// What an upstream has run so far.
     async fn runs(&self, name: &str) -> usize {
-        let ledger = self.fleet.ledger().await;
+        let ledger = self.fleet.ledger();
         let runs = ledger.expect("upstreams tell what they ran").executions;
         runs.iter().filter(|run| run.upstream == name).count()
     }
@@ -176,7 +176,7 @@
         tokio::time::sleep(SILENCE.to_duration()).await;
         self.carried().await;
         self.load.stop().await;
-        let ledger = self.fleet.ledger().await;
+        let ledger = self.fleet.ledger();
         let ledger = ledger.expect("upstreams tell what they ran");
         let report = history::check(&self.recorder.events(), &ledger);
         println!("{report}");
@@ -257,11 +257,7 @@
     let stopped = bench.fleet.stop_upstream("intake-2").await;
     stopped.expect("an upstream stops gracefully");
     bench.load.stop().await;
-    let ledger = bench
-        .fleet
-        .ledger()
-        .await
-        .expect("upstreams tell what they ran");
+    let ledger = bench.fleet.ledger().expect("upstreams tell what they ran");
     let report = history::check(&bench.recorder.events(), &ledger);
     println!("{report}");
     assert_eq!(report.wrong_service(), 0, "{report}");
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -52,6 +52,7 @@
             rule("POST", "/", 5_000),
         ],
         deadline: clock::Millis(5_000),
+        former: Vec::new(),
     }
 }
 
--- a/xtask/src/measure/packets.rs
+++ b/xtask/src/measure/packets.rs
@@ -113,6 +113,7 @@
         weights: Vec::new(),
         rules: Vec::new(),
         deadline: clock::Millis(1_000),
+        former: Vec::new(),
     }
 }
 
