--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -219,6 +219,9 @@
 
     fn unanswered(&self, failure: Failure) -> Response<outcome::Body> {
         let outcome = failure.outcome();
+        if failure != Failure::Shed {
+            self.upstream.note(false);
+        }
         self.upstream.metrics.end(self.treatment.class, outcome);
         match failure {
             Failure::Unwritten | Failure::Shed => self.upstream.refuse(),
@@ -229,6 +232,7 @@
 
     fn answer(self, answer: Answer, hold: Hold) -> Response<outcome::Body> {
         let is_success = !answer.response.status().is_server_error();
+        self.upstream.note(is_success);
         if is_success {
             self.upstream.succeed();
         }
--- a/src/bin/cassiacross-agent/shared.rs
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -212,6 +212,7 @@
             policy: self.settings.policy.admission,
             service,
             budget: self.budget(),
+            health: self.settings.policy.health,
             retry: None,
             seed: rand::random(),
             clock: self.clock,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod gossip;
 pub mod gue;
 pub mod header;
+pub mod health;
 pub mod ident;
 pub mod member;
 pub mod membership;
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -50,8 +50,9 @@
 /// Age at which an estimate no longer refuses the first request in line, so that it is renewed.
 const PROBE_PERIOD: clock::Millis = clock::Millis(1_000);
 
-/// Slots that are reserved for a class, relative to what its arrivals need on average.
-const RESERVE_FACTOR: f64 = 1.1;
+/// Slots that are reserved for a class beyond the mean need of its arrivals, in square
+/// roots of that need: the deviation of a Poisson number is the root of its mean.
+const RESERVE_DEVIATIONS: f64 = 1.0;
 
 /// The least need of a class that reserves a slot for it, in slots.
 const MIN_NEED: f64 = 0.001;
@@ -468,7 +469,8 @@
             return slots;
         }
         let need: f64 = (0..lane).map(|higher| self.need(higher)).sum();
-        let reserved = (1..slots).find(|n| count(*n) >= need * RESERVE_FACTOR);
+        let wanted = need + RESERVE_DEVIATIONS * need.sqrt();
+        let reserved = (1..slots).find(|n| count(*n) >= wanted);
         let is_needed = need >= MIN_NEED;
         if is_needed {
             slots - reserved.unwrap_or(slots.saturating_sub(1))
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -37,7 +37,7 @@
 };
 
 use crate::{
-    admission, attempt, budget, clock, connection, metrics, outcome, queue, record, request,
+    admission, attempt, budget, clock, connection, health, metrics, outcome, queue, record, request,
 };
 
 /// The largest head of a request, in bytes.
@@ -91,6 +91,8 @@
     pub service: record::Service,
     /// Retries.
     pub budget: budget::Budget,
+    /// Whether a failing upstream passes new flows on.
+    pub health: bool,
     /// Other candidates, if any.
     pub retry: Option<Retry>,
     /// Seed of the generator.
@@ -134,6 +136,7 @@
     service: Mutex<Arc<record::Service>>,
     pool: Mutex<connection::Pool>,
     budget: Mutex<budget::Budget>,
+    health: Option<Mutex<health::Health>>,
     rng: Mutex<SmallRng>,
     draining: watch::Sender<bool>,
     flows: Arc<AtomicUsize>,
@@ -164,6 +167,7 @@
             service: Mutex::new(Arc::new(options.service)),
             pool: Mutex::default(),
             budget: Mutex::new(options.budget),
+            health: options.health.then(Mutex::default),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             draining: watch::Sender::new(false),
             flows: Arc::default(),
@@ -197,7 +201,26 @@
     /// Whether a new flow should be accepted.
     #[must_use]
     pub fn has_room(&self) -> bool {
-        !self.is_draining() && self.admission.with(|queue| queue.has_room())
+        !self.is_draining() && self.admission.with(|queue| queue.has_room()) && self.is_admitting()
+    }
+
+    /// Whether most of the upstream's answers are failures.
+    #[must_use]
+    pub fn is_failing(&self) -> bool {
+        let health = self.health.as_ref();
+        health.is_some_and(|health| lock(health).is_failing())
+    }
+
+    fn is_admitting(&self) -> bool {
+        let health = self.health.as_ref();
+        health.is_none_or(|health| lock(health).admits(self.clock.now()))
+    }
+
+    /// Counts whether the upstream answered rightly.
+    pub(crate) fn note(&self, is_success: bool) {
+        if let Some(health) = &self.health {
+            lock(health).note(is_success);
+        }
     }
 
     /// The step of the measured capacity, see [`queue::Queue::step`].
@@ -300,6 +323,9 @@
     S: AsyncRead + AsyncWrite + Unpin,
 {
     let _open = Open::new(&upstream.flows);
+    if let Some(health) = &upstream.health {
+        lock(health).probe(upstream.clock.now());
+    }
     match upstream.service().protocol {
         record::Protocol::Http => serve_http(stream, upstream).await,
         record::Protocol::Tcp => serve_tcp(stream, &upstream).await,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -65,6 +65,8 @@
     pub hunting: bool,
     /// Retries are tied to successes.
     pub budget: bool,
+    /// A failing upstream passes new flows on.
+    pub health: bool,
 }
 
 /// Settings that balancers and agents share.
@@ -153,6 +155,7 @@
         },
         hunting: rules.flag("hunting", true),
         budget: rules.flag("budget", true),
+        health: rules.flag("health", true),
     };
     reader.absorb(rules);
     policy
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -66,6 +66,7 @@
         policy: queue::Policy::default(),
         service: service(record::Protocol::Http),
         budget: budget::Budget::unlimited(),
+        health: true,
         retry: None,
         seed: 1,
         clock: clock::Clock::new(),
--- a/xtask/src/measure/recovery.rs
+++ b/xtask/src/measure/recovery.rs
@@ -1,4 +1,5 @@
-//! An upstream that answers wrongly fast, and one that fails, with and without retry budget.
+//! An upstream that answers wrongly fast, and one that fails, with and without
+//! retry budget and health.
 
 use std::time::Duration;
 
@@ -24,15 +25,15 @@
     last_failure: Duration,
 }
 
-/// Runs both deployments, first without the budget.
+/// Runs both deployments, first without the rules.
 pub(super) async fn run(seed: u64) -> anyhow::Result<Finding> {
     let mut figures = Vec::new();
     let mut met = true;
     for site in super::sites() {
-        for budget in [false, true] {
-            let (fits, found) = measure(&site, seed, budget).await?;
+        for rules in [false, true] {
+            let (fits, found) = measure(&site, seed, rules).await?;
             println!("{found}");
-            met &= !budget || fits;
+            met &= !rules || fits;
             figures.push(found);
         }
     }
@@ -43,8 +44,10 @@
     })
 }
 
-async fn measure(site: &Site, seed: u64, budget: bool) -> anyhow::Result<(bool, Value)> {
-    let mut fleet = site.start(seed, &json!({"budget": budget})).await?;
+async fn measure(site: &Site, seed: u64, rules: bool) -> anyhow::Result<(bool, Value)> {
+    let mut fleet = site
+        .start(seed, &json!({"budget": rules, "health": rules}))
+        .await?;
     let load = start(site, &fleet, seed)?;
     time::sleep(WARM).await;
     let service = site.urgent.kind.service;
@@ -68,7 +71,7 @@
     let retry_share = ratio(retries, sent);
     let back = after.last_failure.as_secs_f64();
     let found = json!({
-        "deployment": site.deployment.name, "budget": budget,
+        "deployment": site.deployment.name, "rules": rules,
         "wrong_fast_share": ratio(during.failed, during.sent),
         "wrong_fast_normal_after_s": after.last_failure.as_secs_f64(),
         "killed_share": killed,
