Share the daemon tests' child processes and servers

tests/agent and tests/balancer each had their own way to start a daemon, serve a stand-in and call over HTTP; both use tests/common/child now.

--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -3,21 +3,21 @@
 mod common;
 
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::Read,
     net::{SocketAddrV4, UdpSocket},
-    process::{Child, Command, Stdio},
+    process::Child,
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use cassiacross::{exchange, gue, header, ident, member, packet, seal};
+use common::child;
 use gotham::{mime, prelude::*, router::build_simple_router, state::State};
 use yare::parameterized;
 
 const KEY: &str = "fleet key of the agent tests";
 const TOKEN: &str = "operator token of the agent tests";
-const LIMIT: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cassiacross-agent");
 const CONNECTIONS: usize = 4;
 
 #[derive(serde::Deserialize)]
@@ -31,7 +31,7 @@
     child: Child,
     bound: Bound,
     fabric: UdpSocket,
-    runtime: tokio::runtime::Runtime,
+    client: child::Client,
 }
 
 impl Agent {
@@ -48,52 +48,26 @@
     }
 
     fn spawn_beside(seed: SocketAddrV4) -> Self {
-        let settings = settings(seed);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cassiacross-agent"))
-            .args(["run", "--settings"])
-            .arg(settings.path())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the agent starts");
-        let stdout = child.stdout.take().expect("stdout is piped");
-        let mut line = String::new();
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("the agent prints a line");
+        let (child, bound) = child::spawn(PROGRAM, &settings(seed));
         let fabric = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         fabric
-            .set_read_timeout(Some(LIMIT))
+            .set_read_timeout(Some(child::LIMIT))
             .expect("the socket can be set");
         Self {
             child,
-            bound: serde_json::from_str(&line).expect("the line is JSON"),
+            bound,
             fabric,
-            runtime: tokio::runtime::Builder::new_current_thread()
-                .enable_all()
-                .build()
-                .expect("a runtime can be made"),
+            client: child::Client::new(),
         }
     }
 
     fn announce(&self, body: &serde_json::Value) -> u16 {
-        let url = format!("http://{}/announce", self.bound.local);
-        self.runtime.block_on(async {
-            let call = client().post(url).body(body.to_string());
-            call.send()
-                .await
-                .expect("the agent answers")
-                .status()
-                .as_u16()
-        })
+        let body = body.to_string().into_bytes();
+        self.client.post(self.bound.local, "announce", "", body).0
     }
 
     fn get(&self, path: &str) -> (u16, String) {
-        let url = format!("http://{}/{path}", self.bound.http);
-        self.runtime.block_on(async {
-            let answer = client().get(url).send().await.expect("the agent answers");
-            let status = answer.status().as_u16();
-            (status, answer.text().await.expect("the answer is whole"))
-        })
+        self.client.get(self.bound.http, path)
     }
 
     fn state(&self) -> serde_json::Value {
@@ -118,8 +92,12 @@
     fn wait_until(&self, what: &str, fits: impl Fn() -> bool) {
         let start = Instant::now();
         while !fits() {
-            assert!(start.elapsed() < LIMIT, "{what}: {}", self.get("state").1);
-            thread::sleep(POLL);
+            assert!(
+                start.elapsed() < child::LIMIT,
+                "{what}: {}",
+                self.get("state").1
+            );
+            thread::sleep(child::POLL);
         }
     }
 
@@ -166,29 +144,16 @@
 
 impl Drop for Agent {
     fn drop(&mut self) {
-        self.child.kill().expect("the agent is killed");
-        self.child.wait().expect("the agent ends");
+        child::end(&mut self.child);
     }
 }
 
-fn client() -> reqwest::Client {
-    reqwest::Client::builder()
-        .no_proxy()
-        .timeout(LIMIT)
-        .build()
-        .expect("a client can be made")
-}
-
-fn settings(seed: SocketAddrV4) -> tempfile::NamedTempFile {
+fn settings(seed: SocketAddrV4) -> serde_json::Value {
     let any = "127.0.0.1:0";
-    let text = serde_json::json!({
+    serde_json::json!({
         "name": "agent-1", "domain": "valley-a", "packets": any, "http": any, "local": any,
         "seeds": [seed], "period_ms": 50, "fleet_key": KEY, "operator_token": TOKEN,
-    });
-    let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
-    file.write_all(text.to_string().as_bytes())
-        .expect("the file can be written");
-    file
+    })
 }
 
 fn announcement() -> serde_json::Value {
@@ -200,23 +165,10 @@
 
 /// A balancer that gives the view of one service without agents, with `others` as balancers.
 fn balancer(others: Vec<member::Balancer>) -> SocketAddrV4 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener
-        .set_nonblocking(true)
-        .expect("the socket can be set");
-    let port = listener.local_addr().expect("the socket is bound").port();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime can be made");
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
-            let accept = |stream| std::future::ready(Ok(stream));
-            gotham::bind_server(listener, router(others), accept).await;
-        });
-    });
-    common::addr(port)
+    child::serve(|listener| async {
+        let accept = |stream| std::future::ready(Ok(stream));
+        gotham::bind_server(listener, router(others), accept).await
+    })
 }
 
 fn router(others: Vec<member::Balancer>) -> gotham::router::Router {
@@ -343,7 +295,7 @@
     fn new() -> Self {
         let control = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         control
-            .set_read_timeout(Some(LIMIT))
+            .set_read_timeout(Some(child::LIMIT))
             .expect("the socket can be set");
         let http = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
         Self { control, http }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -3,22 +3,21 @@
 mod common;
 
 use std::{
-    io::{BufRead, BufReader, Write},
-    net::{SocketAddr, SocketAddrV4, UdpSocket},
-    process::{Child, Command, ExitStatus, Stdio},
+    net::{SocketAddrV4, UdpSocket},
+    process::{Child, Command, ExitStatus},
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 use cassiacross::{config, exchange, gue, header, ident, member, seal};
+use common::child;
 use gotham::{mime, prelude::*, router::build_simple_router, state::State};
 use serde::{Serialize, de::DeserializeOwned};
 use yare::parameterized;
 
 const KEY: &str = "0123456789abcdef";
 const TOKEN: &str = "operator-token-0123";
-const LIMIT: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(20);
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cassiacross-balancer");
 
 #[derive(serde::Deserialize)]
 struct Bound {
@@ -30,7 +29,7 @@
 struct Daemon {
     child: Child,
     bound: Bound,
-    client: Client,
+    client: child::Client,
 }
 
 impl Daemon {
@@ -41,25 +40,13 @@
         daemon
     }
 
-    fn spawn(name: &str, seeds: &[SocketAddrV4], platform: SocketAddr) -> Self {
+    fn spawn(name: &str, seeds: &[SocketAddrV4], platform: SocketAddrV4) -> Self {
         let settings = settings(name, seeds, platform);
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cassiacross-balancer"))
-            .args(["run", "--settings"])
-            .arg(settings.path())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the daemon starts");
-        let mut line = String::new();
-        let stdout = child.stdout.take().expect("stdout is piped");
-        BufReader::new(stdout)
-            .read_line(&mut line)
-            .expect("the daemon prints a line");
-        let bound = serde_json::from_str(&line).expect("the line is JSON");
-        let client = Client::new();
+        let (child, bound) = child::spawn(PROGRAM, &settings);
         Self {
             child,
             bound,
-            client,
+            client: child::Client::new(),
         }
     }
 
@@ -87,8 +74,12 @@
     fn wait_until(&self, what: &str, fits: impl Fn() -> bool) {
         let start = Instant::now();
         while !fits() {
-            assert!(start.elapsed() < LIMIT, "{what}: {}", self.text("state"));
-            thread::sleep(POLL);
+            assert!(
+                start.elapsed() < child::LIMIT,
+                "{what}: {}",
+                self.text("state")
+            );
+            thread::sleep(child::POLL);
         }
     }
 
@@ -107,84 +98,25 @@
 
 impl Drop for Daemon {
     fn drop(&mut self) {
-        if self.child.try_wait().is_ok_and(|status| status.is_none()) {
-            self.child.kill().expect("the daemon is killed");
-            self.child.wait().expect("the daemon ends");
-        }
+        child::end(&mut self.child);
     }
 }
 
 /// A platform without records, for the rest of the process.
-fn platform() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener
-        .set_nonblocking(true)
-        .expect("the socket can be set");
-    let addr = listener.local_addr().expect("the socket is bound");
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime can be made");
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
-            standins::platform::serve(listener).await
-        })
-    });
-    addr
+fn platform() -> SocketAddrV4 {
+    child::serve(standins::platform::serve)
 }
 
-fn settings(name: &str, seeds: &[SocketAddrV4], platform: SocketAddr) -> tempfile::NamedTempFile {
+fn settings(name: &str, seeds: &[SocketAddrV4], platform: SocketAddrV4) -> serde_json::Value {
     let any = "127.0.0.1:0";
-    let text = serde_json::json!({
+    serde_json::json!({
         "name": name, "domain": "valley-a", "packets": any, "control": any, "http": any,
         "seeds": seeds, "platform": format!("http://{platform}"), "period_ms": 50,
         "fleet_key": KEY, "operator_token": TOKEN,
-    });
-    let mut file = tempfile::NamedTempFile::new().expect("a file can be made");
-    file.write_all(text.to_string().as_bytes())
-        .expect("the file can be written");
-    file
-}
-
-struct Client {
-    runtime: tokio::runtime::Runtime,
-    http: reqwest::Client,
+    })
 }
 
-impl Client {
-    fn new() -> Self {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime can be made");
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .build()
-            .expect("a client can be made");
-        Self { runtime, http }
-    }
-
-    fn get(&self, to: SocketAddrV4, path: &str) -> (u16, String) {
-        self.runtime.block_on(async {
-            let call = self.http.get(format!("http://{to}/{path}"));
-            let response = call.send().await.expect("the daemon answers");
-            let status = response.status().as_u16();
-            (status, response.text().await.expect("the answer is whole"))
-        })
-    }
-
-    fn post(&self, to: SocketAddrV4, path: &str, bearer: &str, body: Vec<u8>) -> (u16, Vec<u8>) {
-        self.runtime.block_on(async {
-            let call = self.http.post(format!("http://{to}/{path}"));
-            let call = call.bearer_auth(bearer).body(body);
-            let response = call.send().await.expect("the daemon answers");
-            let status = response.status().as_u16();
-            let body = response.bytes().await.expect("the answer is whole");
-            (status, body.to_vec())
-        })
-    }
-
+impl Daemon {
     fn fleet<Q: Serialize, A: DeserializeOwned>(
         &self,
         to: SocketAddrV4,
@@ -192,7 +124,8 @@
         request: &Q,
     ) -> A {
         let bearer = seal::Sealer::new(KEY).bearer();
-        let (status, body) = self.post(to, path, &bearer, exchange::encode(request));
+        let body = exchange::encode(request);
+        let (status, body) = self.client.post(to, path, &bearer, body);
         assert_eq!(status, 200);
         rmp_serde::from_slice(&body).expect("the answer can be read")
     }
@@ -200,26 +133,10 @@
 
 /// A peer that holds the record of one service.
 fn seed() -> SocketAddrV4 {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener
-        .set_nonblocking(true)
-        .expect("the socket can be set");
-    let addr = listener.local_addr().expect("the socket is bound");
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build()
-            .expect("a runtime can be made");
-        runtime.block_on(async {
-            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
-            let accept = |stream| std::future::ready(Ok(stream));
-            gotham::bind_server(listener, seed_router(), accept).await;
-        });
-    });
-    match addr {
-        std::net::SocketAddr::V4(addr) => addr,
-        std::net::SocketAddr::V6(_) => unreachable!("the address is IPv4"),
-    }
+    child::serve(|listener| async {
+        let accept = |stream| std::future::ready(Ok(stream));
+        gotham::bind_server(listener, seed_router(), accept).await
+    })
 }
 
 fn seed_router() -> gotham::router::Router {
@@ -262,7 +179,7 @@
     fn new(name: &str, watcher: &str) -> Self {
         let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
         socket
-            .set_read_timeout(Some(LIMIT))
+            .set_read_timeout(Some(child::LIMIT))
             .expect("the socket can be set");
         let mut member = common::member(name, &[common::node(watcher)]);
         member.packets = common::addr(socket.local_addr().expect("the socket is bound").port());
@@ -366,9 +283,7 @@
     let mut agent = Agent::new("agent-1", "balancer-1");
     let ack = agent.beat(daemon.bound.control);
     let request = exchange::ViewRequest::Service(common::SERVICE.to_owned());
-    let view: exchange::View = daemon
-        .client
-        .fleet(daemon.bound.http, "fleet/view", &request);
+    let view: exchange::View = daemon.fleet(daemon.bound.http, "fleet/view", &request);
     assert_eq!(view.service.map(|one| one.name).as_deref(), Some("ledger"));
     assert_eq!(view.members, [agent.beat.member]);
     assert_eq!(view.balancers.len(), 1);
@@ -394,8 +309,8 @@
             if liveness(&two, name).is_some_and(|found| found == expected) {
                 return;
             }
-            assert!(start.elapsed() < LIMIT, "{name} is not {expected}");
-            thread::sleep(POLL);
+            assert!(start.elapsed() < child::LIMIT, "{name} is not {expected}");
+            thread::sleep(child::POLL);
         }
     };
     for name in ["agent-0", "agent-1", "agent-2"] {
@@ -496,8 +411,8 @@
 
 #[test]
 fn settings_with_faults_stop_the_daemon() {
-    let settings = settings(&"x".repeat(65), &[], platform());
-    let output = Command::new(env!("CARGO_BIN_EXE_cassiacross-balancer"))
+    let settings = child::file(&settings(&"x".repeat(65), &[], platform()));
+    let output = Command::new(PROGRAM)
         .args(["check-settings", "--settings"])
         .arg(settings.path())
         .output()
@@ -508,7 +423,7 @@
 
 #[test]
 fn without_platform_and_peer_it_says_what_it_waits_for() {
-    let dead = SocketAddr::from(([127, 0, 0, 1], 9));
+    let dead = common::addr(9);
     let daemon = Daemon::spawn("balancer-1", &[], dead);
     daemon.wait_until("the wait for records", || {
         let (status, text) = daemon.client.get(daemon.bound.http, "ready");
@@ -519,7 +434,7 @@
 
 #[test]
 fn without_platform_one_peer_with_records_is_enough() {
-    let dead = SocketAddr::from(([127, 0, 0, 1], 9));
+    let dead = common::addr(9);
     let daemon = Daemon::spawn("balancer-1", &[seed()], dead);
     daemon.wait_until("ready", || daemon.status("ready") == 200);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod child;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cassiacross::{clock, exchange, ident, member, membership, record};
