Check the length of names and failure domains with all other settings

The balancer checked it apart and the agent not at all, whose overlong name balancers then refuse without a word to the operator. One more case; 23 of 23 of tests/settings and tests/balancer pass.

--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -55,14 +55,7 @@
 fn read(path: &Path) -> anyhow::Result<settings::Balancer> {
     let text =
         fs::read_to_string(path).with_context(|| format!("{} cannot be read", path.display()))?;
-    let settings = settings::balancer(&text)?;
-    let common = &settings.common;
-    for text in [&common.name, &common.domain] {
-        let len = text.len();
-        let max = membership::MAX_TEXT;
-        anyhow::ensure!(len <= max, "name and domain have {max} bytes at most");
-    }
-    Ok(settings)
+    Ok(settings::balancer(&text)?)
 }
 
 fn serve(settings: &settings::Balancer) -> anyhow::Result<()> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use crate::{clock, fields, queue};
+use crate::{clock, fields, membership, queue};
 
 const MIN_SECRET_LEN: usize = 16;
 const MIN_PERIOD: clock::Millis = clock::Millis(20);
@@ -161,9 +161,22 @@
     policy
 }
 
+/// A short text that travels in each heartbeat and exchange.
+fn label(reader: &mut fields::Reader<'_>, name: &'static str) -> Option<String> {
+    let text = reader.text(name, 1)?;
+    if text.len() <= membership::MAX_TEXT {
+        return Some(text);
+    }
+    reader.fault(
+        name,
+        &format!("must have {} bytes at most", membership::MAX_TEXT),
+    );
+    None
+}
+
 fn common(reader: &mut fields::Reader<'_>) -> Option<Common> {
-    let name = reader.text("name", 1);
-    let domain = reader.text("domain", 1);
+    let name = label(reader, "name");
+    let domain = label(reader, "domain");
     let http = reader.parsed("http");
     let seeds = reader.list("seeds");
     let fleet_key = reader.text("fleet_key", MIN_SECRET_LEN);
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -22,6 +22,7 @@
     unknown_field = { r#""packets""#, r#""packet""#, &["packets ", "packet is not"] },
     short_key = { "0123456789abcdef", "short", &["fleet_key must", "operator_token must"] },
     bad_seed = { "127.0.0.1:7000", "host:7000", &["seeds[0] must"] },
+    long_name = { "balancer-1", &"x".repeat(65), &["name must have 64 bytes at most"] },
     two_faults = { "127.0.0.1:0", "host", &["packets must", "control must", "http must"] },
 )]
 fn balancer_faults(from: &str, to: &str, expected: &[&str]) {
