Spread the registrations of balancers that start at once over two periods

By arithmetic a cold start of 680 balancers sent 680 writes to the platform at one moment, which takes several hundred a second in all; now about 113 a second at a period of 3 s. Not measured.

--- a/src/bin/cassiacross-balancer/configuration.rs
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -12,6 +12,9 @@
 /// How long a watch may hold before the balancer asks itself whether it still should.
 const TURN: Duration = Duration::from_secs(6);
 
+/// Periods over which the balancers of a fleet that starts at once register.
+const SPREAD_PERIODS: f64 = 2.0;
+
 /// Follows the platform's records for as long as this balancer is a watcher.
 pub(crate) async fn follow(shared: shared::Shared, client: platform::Client, period: Duration) {
     let mut watch = watch::Watch::new(client, platform::RECORDS, watch::RELIST, rand::random());
@@ -129,7 +132,11 @@
 }
 
 /// Keeps this balancer's object in the platform, trying again while it is down.
+///
+/// The first try waits for a random part of [`SPREAD_PERIODS`], so that a whole fleet
+/// that starts at once does not write at one moment.
 pub(crate) async fn register(client: platform::Client, me: member::Balancer, period: Duration) {
+    time::sleep(period.mul_f64(rand::random::<f64>() * SPREAD_PERIODS)).await;
     while let Err(error) = put(&client, &me).await {
         log::warn!(error:% = error; "this balancer cannot be registered with the platform");
         time::sleep(period).await;
