--- a/src/bin/cassiacross-agent/app.rs
+++ b/src/bin/cassiacross-agent/app.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::{SocketAddr, SocketAddrV4},
+    net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex},
 };
@@ -96,10 +96,8 @@
         name: common.name.clone(),
         service: String::new(),
         domain: common.domain.clone(),
-        packets: settings
-            .advertise_packets
-            .map_or_else(|| v4(bound.packets), Ok)?,
-        http: common.advertise_http.map_or_else(|| v4(bound.http), Ok)?,
+        packets: udp::reached(bound.packets, settings.advertise_packets)?,
+        http: udp::reached(bound.http, common.advertise_http)?,
         state: member::State::Starting,
         step: 0,
         watchers: Vec::new(),
@@ -127,13 +125,6 @@
     }))
 }
 
-fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
-    match addr {
-        SocketAddr::V4(addr) => Ok(addr),
-        SocketAddr::V6(addr) => anyhow::bail!("{addr} is not an IPv4 address"),
-    }
-}
-
 async fn serve_http(listener: TcpListener, router: Router) {
     gotham::bind_server(listener, router, |stream| std::future::ready(Ok(stream))).await;
 }
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -128,10 +128,8 @@
         incarnation: ident::Incarnation::start(),
         name: common.name.clone(),
         domain: common.domain.clone(),
-        control: settings
-            .advertise_control
-            .map_or_else(|| v4(bound.control), Ok)?,
-        http: common.advertise_http.map_or_else(|| v4(bound.http), Ok)?,
+        control: udp::reached(bound.control, settings.advertise_control)?,
+        http: udp::reached(bound.http, common.advertise_http)?,
         leaving: false,
     };
     let clock = clock::Clock::new();
@@ -150,13 +148,6 @@
         .collect()
 }
 
-fn v4(addr: SocketAddr) -> anyhow::Result<SocketAddrV4> {
-    match addr {
-        SocketAddr::V4(addr) => Ok(addr),
-        SocketAddr::V6(addr) => anyhow::bail!("{addr} is not an IPv4 address"),
-    }
-}
-
 fn spawn_forwarder(
     socket: std::net::UdpSocket,
     shared: &shared::Shared,
--- a/src/udp.rs
+++ b/src/udp.rs
@@ -1,8 +1,8 @@
-//! UDP sockets for packets, which arrive in bursts.
+//! Sockets for packets, which arrive in bursts, and the addresses that others reach.
 
 use std::{
     io,
-    net::{SocketAddrV4, UdpSocket},
+    net::{SocketAddr, SocketAddrV4, UdpSocket},
 };
 
 const RECEIVE_LEN: usize = 4 * 1_024 * 1_024;
@@ -18,3 +18,16 @@
     socket.set_nonblocking(true)?;
     Ok(socket)
 }
+
+/// Where others reach a bound address: as advertised, or else as bound.
+///
+/// Fails for an IPv6 address that nothing is advertised for.
+pub fn reached(bound: SocketAddr, advertised: Option<SocketAddrV4>) -> io::Result<SocketAddrV4> {
+    match (advertised, bound) {
+        (Some(addr), _) | (None, SocketAddr::V4(addr)) => Ok(addr),
+        (None, SocketAddr::V6(addr)) => {
+            let what = format!("{addr} is not an IPv4 address");
+            Err(io::Error::new(io::ErrorKind::InvalidInput, what))
+        }
+    }
+}
