Keep one relay for an agent's life

Cause: while its upstream drained, each pulled view made a new relay beside the draining one, and an upstream that returned ready got another. Running requests were then counted by a relay that nobody asked, and the metrics were registered again each time. Change: the relay is made once, drains and resumes. Red before: the new case found families of metrics twice in /metrics; green after, with all cases of tests/agent, relay and path.

--- a/src/bin/cassiacross-agent/shared.rs
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -174,21 +174,19 @@
             slots: announcement.slots,
             connections: announcement.connections,
         };
-        match &local.relay {
-            Some(relay) if !relay.is_draining() || local.stopping => {
-                relay.set_upstream(announcement.address, limits);
-                relay.set_service(service);
-            }
-            _ => {
-                let relay = Arc::new(self.new_relay(announcement.address, limits, service));
-                relay.register(&mut lock(&self.registry));
-                local.relay = Some(relay);
-            }
-        }
-        if announcement.state == member::State::Draining
-            && let Some(relay) = &local.relay
-        {
+        let relay = if let Some(relay) = &local.relay {
+            relay.set_upstream(announcement.address, limits);
+            relay.set_service(service);
+            Arc::clone(relay)
+        } else {
+            let relay = Arc::new(self.new_relay(announcement.address, limits, service));
+            relay.register(&mut lock(&self.registry));
+            Arc::clone(local.relay.insert(relay))
+        };
+        if announcement.state == member::State::Draining || local.stopping {
             relay.drain();
+        } else {
+            relay.resume();
         }
     }
 
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -236,7 +236,12 @@
         self.draining.send_replace(true);
     }
 
-    /// Whether [`Upstream::drain`] was called.
+    /// Takes new work again, for an upstream that returned after draining.
+    pub fn resume(&self) {
+        self.draining.send_replace(false);
+    }
+
+    /// Whether [`Upstream::drain`] was called, and [`Upstream::resume`] not since.
     #[must_use]
     pub fn is_draining(&self) -> bool {
         *self.draining.borrow()
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -363,6 +363,26 @@
     assert!(!ended(), "the heartbeats waited for the end of the pull");
 }
 
+#[test]
+fn metrics_stand_once_however_often_the_upstream_returns() {
+    let agent = Agent::start();
+    for state in ["draining", "ready", "draining", "ready"] {
+        let mut announcement = announcement();
+        announcement["state"] = state.into();
+        agent.announce(&announcement);
+    }
+    agent.wait_until("ready", || agent.get("ready").0 == 200);
+    let (_, text) = agent.get("metrics");
+    let families: Vec<_> = text
+        .lines()
+        .filter(|line| line.starts_with("# TYPE"))
+        .collect();
+    let mut distinct = families.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert_eq!(families.len(), distinct.len(), "{text}");
+}
+
 #[test]
 fn state_hides_secrets() {
     let agent = Agent::start();
