Take a silent upstream back with its next announcement

Cause: an upstream that fell silent and refused connections was set to starting, and an announcement that equalled the last one was passed over, so the upstream stayed out until something in it changed. Change: each announcement sets the state. The cases' upstream takes connections now, since one that is silent and refuses them loses its readiness after 250 ms, which a busy machine could show.

--- a/src/bin/cassiacross-agent/shared.rs
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -129,16 +129,15 @@
         local.announced = self.now();
         let known = local.announcement.replace(announcement.clone());
         drop(local);
-        if known.as_ref() == Some(announcement) {
-            return;
+        if known.as_ref() != Some(announcement) {
+            log::info!(
+                service = announcement.service, state:? = announcement.state;
+                "upstream announces itself"
+            );
+            self.follow(announcement);
+            self.connect(announcement);
         }
-        log::info!(
-            service = announcement.service, state:? = announcement.state;
-            "upstream announces itself"
-        );
-        self.follow(announcement);
         self.set_state(announcement.state);
-        self.connect(announcement);
     }
 
     /// Puts the upstream's state into the agent's own entry.
--- a/tests/agent.rs
+++ b/tests/agent.rs
@@ -4,7 +4,7 @@
 
 use std::{
     io::Read,
-    net::{SocketAddrV4, UdpSocket},
+    net::{SocketAddrV4, TcpListener, UdpSocket},
     process::Child,
     thread,
     time::Instant,
@@ -32,13 +32,15 @@
     bound: Bound,
     fabric: UdpSocket,
     client: child::Client,
+    /// Takes connections, so that an upstream that announces itself once stays ready.
+    upstream: TcpListener,
 }
 
 impl Agent {
     /// Starts an agent whose upstream is ready and whose record is in force.
     fn start() -> Self {
         let agent = Self::spawn();
-        assert_eq!(agent.announce(&announcement()), 204);
+        assert_eq!(agent.announce(&agent.announcement()), 204);
         agent.wait_until("ready", || agent.get("ready").0 == 200);
         agent
     }
@@ -58,6 +60,7 @@
             bound,
             fabric,
             client: child::Client::new(),
+            upstream: TcpListener::bind("127.0.0.1:0").expect("a port is free"),
         }
     }
 
@@ -66,6 +69,14 @@
         self.client.post(self.bound.local, "announce", "", body).0
     }
 
+    fn announcement(&self) -> serde_json::Value {
+        let address = self.upstream.local_addr().expect("the socket is bound");
+        serde_json::json!({
+            "service": common::SERVICE, "address": address.to_string(), "slots": 2,
+            "connections": CONNECTIONS, "load": "/load", "state": "ready",
+        })
+    }
+
     fn get(&self, path: &str) -> (u16, String) {
         self.client.get(self.bound.http, path)
     }
@@ -156,13 +167,6 @@
     })
 }
 
-fn announcement() -> serde_json::Value {
-    serde_json::json!({
-        "service": common::SERVICE, "address": "127.0.0.1:9", "slots": 2,
-        "connections": CONNECTIONS, "load": "/load", "state": "ready",
-    })
-}
-
 /// A balancer that gives the view of one service without agents, with `others` as balancers.
 fn balancer(others: Vec<member::Balancer>) -> SocketAddrV4 {
     child::serve(|listener| async {
@@ -276,11 +280,11 @@
 fn ready_after_draining_is_a_new_run() {
     let agent = Agent::start();
     let before = agent.hop();
-    let mut draining = announcement();
+    let mut draining = agent.announcement();
     draining["state"] = "draining".into();
     agent.announce(&draining);
     assert_eq!(agent.get("ready").0, 503);
-    agent.announce(&announcement());
+    agent.announce(&agent.announcement());
     agent.wait_until("ready", || agent.get("ready").0 == 200);
     assert!(agent.hop().incarnation > before.incarnation);
 }
@@ -288,7 +292,7 @@
 /// A balancer that takes heartbeats and connections but never answers a pull.
 struct Silent {
     control: UdpSocket,
-    http: std::net::TcpListener,
+    http: TcpListener,
 }
 
 impl Silent {
@@ -297,7 +301,7 @@
         control
             .set_read_timeout(Some(child::LIMIT))
             .expect("the socket can be set");
-        let http = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let http = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         Self { control, http }
     }
 
@@ -341,7 +345,7 @@
 fn heartbeats_go_on_while_a_pull_hangs() {
     let silent = Silent::new();
     let agent = Agent::spawn_beside(balancer(vec![silent.entry()]));
-    assert_eq!(agent.announce(&announcement()), 204);
+    assert_eq!(agent.announce(&agent.announcement()), 204);
     let mut last = silent.answer();
     let (pull, _) = silent.http.accept().expect("the agent pulls");
     pull.set_nonblocking(true).expect("the socket can be set");
@@ -363,11 +367,24 @@
     assert!(!ended(), "the heartbeats waited for the end of the pull");
 }
 
+#[test]
+fn silent_upstream_is_ready_again_with_its_next_announcement() {
+    let agent = Agent::start();
+    let mut refusing = agent.announcement();
+    refusing["address"] = "127.0.0.1:9".into();
+    assert_eq!(agent.announce(&refusing), 204);
+    let before = agent.hop();
+    agent.wait_until("not ready", || agent.get("ready").0 == 503);
+    assert_eq!(agent.announce(&refusing), 204);
+    assert_eq!(agent.get("ready").0, 200);
+    assert_eq!(agent.hop(), before);
+}
+
 #[test]
 fn metrics_stand_once_however_often_the_upstream_returns() {
     let agent = Agent::start();
     for state in ["draining", "ready", "draining", "ready"] {
-        let mut announcement = announcement();
+        let mut announcement = agent.announcement();
         announcement["state"] = state.into();
         agent.announce(&announcement);
     }
