Let a newer announcement stand against the look at a silent upstream

An announcement of draining that came while the agent tried the upstream's connection could be undone by the older state. Found by reading; the race is too short for a test of its own. 16 of 16 cases of tests/agent pass.

--- a/src/bin/cassiacross-agent/control.rs
+++ b/src/bin/cassiacross-agent/control.rs
@@ -156,7 +156,10 @@
         Err(_) if announcement.state == member::State::Draining => member::State::Draining,
         Err(_) => member::State::Starting,
     };
-    shared.set_state(state);
+    // An announcement that came meanwhile says more than the one that was looked at.
+    if lock(&shared.local).announced == announced {
+        shared.set_state(state);
+    }
 }
 
 fn measure(shared: &Shared) {
