--- a/src/bin/cassiacross-balancer/main.rs
+++ b/src/bin/cassiacross-balancer/main.rs
@@ -10,12 +10,19 @@
 mod peers;
 mod shared;
 
-use std::process::ExitCode;
+use std::{env, process::ExitCode};
+
+use cassiacross::version;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
+    if let Some(answer) = version::answer("cassiacross-balancer", env::args_os().nth(1).as_deref())
+    {
+        println!("{answer}");
+        return ExitCode::SUCCESS;
+    }
     env_logger::init();
     match app::run(cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/bin/cassiacross/main.rs
+++ b/src/bin/cassiacross/main.rs
@@ -7,10 +7,16 @@
 mod failure;
 mod lag;
 
-use std::process::ExitCode;
+use std::{env, process::ExitCode};
+
+use cassiacross::version;
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
+    if let Some(answer) = version::answer("cassiacross", env::args_os().nth(1).as_deref()) {
+        println!("{answer}");
+        return ExitCode::SUCCESS;
+    }
     match app::run(cli::Cassiacross::from_env_or_exit()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,5 +45,6 @@
 pub mod stream;
 pub mod table;
 pub mod udp;
+pub mod version;
 pub mod views;
 pub mod watch;
