Ask for room and readiness only where a packet opens a flow

Other packets now get the agent's identity alone. Ruled out: holding the last answer, which would be state to keep in step. The gain was not measured.

--- a/src/bin/cassiacross-agent/packets.rs
+++ b/src/bin/cassiacross-agent/packets.rs
@@ -70,10 +70,10 @@
 
 /// States flows of this agent to another one.
 pub(crate) fn state(shared: &Shared, to: SocketAddrV4, flows: Vec<packet::Flow>) {
-    let decision = shared.decision();
+    let identity = shared.identity();
     let message = displaced::Message::Own {
-        owner: decision.hop,
-        service: decision.service,
+        owner: identity.hop,
+        service: identity.service,
         flows,
     };
     shared.counters.statements.inc();
@@ -101,7 +101,11 @@
 fn caller_packet(shared: &Shared, body: &[u8]) -> Option<()> {
     let (header, bytes) = header::decode(body).ok()?;
     let view = packet::parse(bytes).ok()?;
-    let local = shared.decision();
+    let local = if view.opening {
+        shared.decision()
+    } else {
+        shared.identity()
+    };
     let now = shared.now();
     let action = lock(&shared.flows)
         .table
--- a/src/bin/cassiacross-agent/shared.rs
+++ b/src/bin/cassiacross-agent/shared.rs
@@ -82,23 +82,30 @@
         lock(&self.me).hop()
     }
 
-    /// What the agent is at this moment, for a decision on a packet.
+    /// What the agent is, for a decision on a packet that opens no flow.
+    pub(crate) fn identity(&self) -> flow::Local {
+        let me = lock(&self.me);
+        flow::Local {
+            hop: me.hop(),
+            service: ident::ServiceId::of(&me.service),
+            address: None,
+            accepts: false,
+            room: false,
+            convergence: self.convergence(),
+        }
+    }
+
+    /// What the agent is at this moment, for a decision on an opening packet.
     pub(crate) fn decision(&self) -> flow::Local {
-        let (hop, service, ready) = {
-            let me = lock(&self.me);
-            let service = ident::ServiceId::of(&me.service);
-            (me.hop(), service, me.state == member::State::Ready)
-        };
+        let ready = lock(&self.me).state == member::State::Ready;
         let (address, weight) = self.in_force();
         let relay = self.relay();
         let accepts = ready && weight > 0.0 && relay.is_some() && !self.is_full();
         flow::Local {
-            hop,
-            service,
             address,
             accepts,
             room: relay.is_some_and(|relay| !self.settings.policy.hunting || relay.has_room()),
-            convergence: self.convergence(),
+            ..self.identity()
         }
     }
 
