--- /dev/null
+++ b/src/beside.rs
@@ -0,0 +1,493 @@
+//! The loop of an agent of a pass-through service.
+
+use std::{
+    io,
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
+
+use anyhow::Context;
+use log::{debug, info, warn};
+use tokio::{
+    net::{TcpStream, UdpSocket},
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    carry, chains,
+    clock::{self, Millis},
+    header, ident, member, node, owner, post, roster, segment, status,
+};
+
+/// Time between two rounds.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time within which a listening upstream takes a connection.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Reports that may be missed before the upstream gets no new flows.
+const MISSED: u64 = 3;
+
+/// Time after which no flow is left that the agent has not seen.
+const COMPLETE_AFTER: Millis = Millis(75_000);
+
+/// How much earlier than the agent an upstream may have started without a flow
+/// that the agent has not seen.
+const START_SLACK: Millis = Millis(1_000);
+
+/// What one agent is.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Unique in the fleet.
+    pub name: String,
+    /// The host's failure domain.
+    pub domain: String,
+    /// Name of the upstream's service.
+    pub service: String,
+    /// Where packets and messages of other nodes arrive; callers are reached at the same port.
+    pub packets: SocketAddrV4,
+    /// Where the upstream sends its packets.
+    pub outbound: SocketAddrV4,
+    /// Where the upstream takes packets and connections.
+    pub upstream: SocketAddrV4,
+    /// Addresses for messages of some balancers.
+    pub seeds: Vec<SocketAddrV4>,
+    /// What all nodes of the fleet seal with.
+    pub secret: String,
+    /// Time between the upstream's reports.
+    pub period: Millis,
+    /// Whether the whole fleet starts for the first time.
+    pub first: bool,
+    /// Longest time from the order to stop until the end, for requests in hand.
+    pub linger: Millis,
+}
+
+/// What the adapter of a platform tells the loop.
+#[derive(Debug)]
+pub enum Event {
+    /// A report of the upstream; answered once it is in force.
+    Report(status::Report, oneshot::Sender<()>),
+    /// The goodbye of the upstream that has an identity and, if said, a start.
+    Leave(String, Option<Millis>, oneshot::Sender<()>),
+    /// Addresses for messages of the balancers that the platform knows.
+    Peers(Vec<SocketAddrV4>),
+    /// The process is to stop.
+    Stop,
+}
+
+struct Loop {
+    codec: segment::Codec,
+    settings: Settings,
+    service: ident::ServiceId,
+    packets: UdpSocket,
+    outbound: UdpSocket,
+    post: post::Post,
+    seed: u64,
+    node: node::Node,
+    status: status::Status,
+    flows: owner::Flows,
+    chains: chains::Chains,
+    chained: Option<u64>,
+    complete: bool,
+    started: Millis,
+    leaving: bool,
+    probes: mpsc::Sender<bool>,
+    clock: clock::Clock,
+}
+
+/// Carries packets to and from the upstream until the process is to stop.
+pub async fn run(
+    settings: Settings,
+    codec: segment::Codec,
+    mut events: mpsc::Receiver<Event>,
+) -> anyhow::Result<()> {
+    let (probes, mut probed) = mpsc::channel(4);
+    let linger = settings.linger;
+    let mut state = start(settings, codec, probes).await?;
+    let mut ticker = time::interval(TICK);
+    ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut stop_at = None;
+    info!(name = state.settings.name, service = state.settings.service; "agent runs");
+    loop {
+        tokio::select! {
+            result = state.packets.readable() => {
+                result.context("packets")?;
+                state.inbound();
+            }
+            result = state.outbound.readable() => {
+                result.context("outbound")?;
+                state.outbound();
+            }
+            event = events.recv() => match event {
+                Some(Event::Stop) | None if stop_at.is_none() => {
+                    info!("agent stops");
+                    stop_at = Some(state.clock.now() + linger);
+                    state.leaving = true;
+                    state.node.update(|me| me.leaving = true);
+                }
+                Some(event) => state.event(event),
+                None => {}
+            },
+            Some(listens) = probed.recv() => state.probed(listens),
+            _ = ticker.tick() => state.tick(),
+        }
+        state.flush();
+        let now = state.clock.now();
+        if stop_at.is_some_and(|at| now >= at || state.flows.load().busy() == 0) {
+            info!("agent has stopped");
+            return Ok(());
+        }
+    }
+}
+
+async fn start(
+    settings: Settings,
+    codec: segment::Codec,
+    probes: mpsc::Sender<bool>,
+) -> anyhow::Result<Loop> {
+    let packets = post::bind(settings.packets).await.context("packets")?;
+    let outbound = post::bind(settings.outbound).await.context("outbound")?;
+    let post = post::Post::new(&settings.secret);
+    let clock = clock::Clock::new();
+    let service = ident::ServiceId::of(&settings.service);
+    let me = entry(&settings, service);
+    let seed = me.incarnation.0;
+    let stop = stop(&me, service, settings.packets);
+    let seeds = settings.seeds.clone();
+    let node = node::Node::new(me, seeds, seed, clock.now());
+    Ok(Loop {
+        codec,
+        service,
+        packets,
+        outbound,
+        seed: post.seed(),
+        post,
+        chains: chains::Chains::new(service, node.roster()),
+        chained: None,
+        node,
+        status: status::Status::new(service),
+        flows: owner::Flows::new(stop),
+        complete: settings.first,
+        started: clock::wall(),
+        leaving: false,
+        probes,
+        clock,
+        settings,
+    })
+}
+
+fn entry(settings: &Settings, service: ident::ServiceId) -> roster::Entry {
+    roster::Entry {
+        node: ident::NodeId::of(&settings.name),
+        incarnation: ident::Incarnation::start(),
+        change: 0,
+        domain: ident::DomainId::of(&settings.domain),
+        control: settings.packets,
+        leaving: false,
+        upstream: Some(roster::Upstream {
+            service,
+            packets: settings.packets,
+            state: None,
+            step: 0,
+        }),
+    }
+}
+
+const fn stop(me: &roster::Entry, service: ident::ServiceId, addr: SocketAddrV4) -> carry::Stop {
+    carry::Stop {
+        service,
+        hop: header::Hop {
+            node: me.node,
+            incarnation: me.incarnation,
+            addr,
+        },
+    }
+}
+
+impl Loop {
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Report(report, done) => {
+                self.report(report);
+                if done.send(()).is_err() {
+                    debug!("upstream no longer waits for its report's answer");
+                }
+            }
+            Event::Leave(id, born, done) => {
+                self.leave(&id, born);
+                if done.send(()).is_err() {
+                    debug!("upstream no longer waits for its goodbye's answer");
+                }
+            }
+            Event::Peers(addresses) => self.node.introduce(addresses),
+            Event::Stop => {}
+        }
+    }
+
+    fn report(&mut self, report: status::Report) {
+        let known = self.status.report().is_some();
+        let (state, slots, born) = (report.state, report.slots, report.born);
+        let id = report.id.clone();
+        match self.status.take(report, self.clock.now()) {
+            status::Effect::Run => {
+                info!(upstream = id, slots = slots, state:? = state; "upstream has started");
+                self.complete |= known || born + START_SLACK >= self.started;
+                self.flows.load_mut().resize(slots);
+            }
+            status::Effect::Fresh => self.flows.load_mut().resize(slots),
+            effect => debug!(upstream = id, effect:? = effect; "report changes nothing"),
+        }
+        self.restate();
+    }
+
+    fn leave(&mut self, id: &str, born: Option<Millis>) {
+        if !self.status.leave(id, born) {
+            debug!(upstream = id; "goodbye of another run");
+            return;
+        }
+        info!(upstream = id, flows = self.flows.owned().len(); "upstream has left");
+        self.lose();
+    }
+
+    fn probed(&mut self, listens: bool) {
+        if listens {
+            self.flows.absolve();
+            return;
+        }
+        if self.status.report().is_some() {
+            warn!(flows = self.flows.owned().len(); "upstream no longer listens");
+            self.status.lose();
+            self.lose();
+        }
+    }
+
+    /// Tells callers and nodes that the upstream is gone.
+    fn lose(&mut self) {
+        let mut actions = Vec::new();
+        self.flows.lose(&mut actions);
+        self.complete = true;
+        self.restate();
+        for action in actions {
+            self.act(action, &mut []);
+        }
+    }
+
+    /// Brings this node's entry up to the upstream's state.
+    fn restate(&mut self) {
+        let now = self.clock.now();
+        let heard = now.since(self.status.heard()).0 <= self.settings.period.0 * (MISSED + 1);
+        let report = self.status.report();
+        let state = report.map(|report| match report.state {
+            member::State::Ready if !heard => member::State::Starting,
+            state => state,
+        });
+        let step = self.flows.load_mut().step();
+        self.node.update(|me| {
+            if let Some(upstream) = &mut me.upstream {
+                upstream.state = state;
+                upstream.step = step;
+            }
+        });
+    }
+
+    fn accepts(&self) -> bool {
+        let upstream = self.node.roster().me().upstream;
+        !self.leaving && upstream.is_some_and(|up| up.state == Some(member::State::Ready))
+    }
+
+    /// Brings the chains up to the roster.
+    fn rank(&mut self) {
+        let roster = self.node.roster();
+        if self.chained != Some(roster.revision()) {
+            self.chained = Some(roster.revision());
+            self.chains = chains::Chains::new(self.service, roster);
+            let me = stop(roster.me(), self.service, self.settings.packets);
+            self.flows.rename(me);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.complete |= now >= COMPLETE_AFTER;
+        self.node.tick(now);
+        self.restate();
+        self.rank();
+        let accepts = self.accepts();
+        let mut actions = Vec::new();
+        let mut around = owner::Around {
+            accepts,
+            complete: self.complete,
+            chains: &mut self.chains,
+            roster: self.node.roster(),
+            seed: self.seed,
+            now,
+        };
+        self.flows.tick(&mut around, &mut actions);
+        for action in actions {
+            self.act(action, &mut []);
+        }
+    }
+
+    fn inbound(&mut self) {
+        let mut taken = Vec::new();
+        post::drain(&self.packets, |bytes, from| {
+            taken.push((bytes.to_vec(), from));
+        });
+        for (bytes, from) in taken {
+            self.datagram(&bytes, from);
+        }
+    }
+
+    fn datagram(&mut self, bytes: &[u8], from: SocketAddrV4) {
+        let now = self.clock.now();
+        match self.post.open(bytes) {
+            Ok(post::Content::Packet(header, packet)) => {
+                let packet = packet.to_vec();
+                self.packet(header, packet);
+            }
+            Ok(post::Content::Message(carry::Message::Own { owner, flows })) => {
+                self.flows.stated(owner, &flows, now);
+            }
+            Ok(post::Content::Message(message)) => {
+                self.node.message(from, message, now);
+            }
+            Err(error) => debug!(from:% = from, error:% = error; "datagram dropped"),
+        }
+    }
+
+    fn packet(&mut self, header: carry::Header, mut packet: Vec<u8>) {
+        let segment = match (self.codec.parse)(&packet) {
+            Ok(segment) => segment,
+            Err(error) => {
+                debug!(error:% = error; "packet cannot be read");
+                return;
+            }
+        };
+        self.rank();
+        let accepts = self.accepts();
+        let mut around = owner::Around {
+            accepts,
+            complete: self.complete,
+            chains: &mut self.chains,
+            roster: self.node.roster(),
+            seed: self.seed,
+            now: self.clock.now(),
+        };
+        let action = self.flows.inbound(&mut around, header, &segment, &packet);
+        self.act(action, &mut packet);
+    }
+
+    fn outbound(&mut self) {
+        let mut taken = Vec::new();
+        post::drain(&self.outbound, |bytes, _from| taken.push(bytes.to_vec()));
+        for bytes in taken {
+            self.answer(bytes);
+        }
+    }
+
+    fn answer(&mut self, mut packet: Vec<u8>) {
+        let segment = match (self.codec.parse)(&packet) {
+            Ok(segment) => segment,
+            Err(error) => {
+                debug!(error:% = error; "upstream's packet cannot be read");
+                return;
+            }
+        };
+        self.rank();
+        let accepts = self.accepts();
+        let mut around = owner::Around {
+            accepts,
+            complete: self.complete,
+            chains: &mut self.chains,
+            roster: self.node.roster(),
+            seed: self.seed,
+            now: self.clock.now(),
+        };
+        let action = self.flows.outbound(&mut around, &segment, &packet);
+        if action == owner::Action::Answer {
+            self.to_caller(*segment.to.ip(), &packet);
+        } else {
+            self.act(action, &mut packet);
+        }
+    }
+
+    fn act(&mut self, action: owner::Action, packet: &mut [u8]) {
+        match action {
+            owner::Action::Deliver(token) => {
+                (self.codec.stamp)(packet, token);
+                self.post
+                    .plain(&self.outbound, self.settings.upstream, packet);
+            }
+            owner::Action::Send(header) => {
+                (self.codec.stamp)(packet, 0);
+                self.post.packet(&self.packets, &header, packet);
+            }
+            owner::Action::Resend(header, bytes) => {
+                self.post.packet(&self.packets, &header, &bytes);
+            }
+            owner::Action::Search(header) => self.search(header, packet),
+            owner::Action::Reset(flow, seq) => {
+                let reset = (self.codec.reset)(&flow, seq);
+                self.to_caller(*flow.caller.ip(), &reset);
+            }
+            owner::Action::Probe => self.probe(),
+            owner::Action::Drop(reason) => debug!(reason:? = reason; "packet dropped"),
+            owner::Action::Answer => {}
+        }
+    }
+
+    fn search(&mut self, mut header: carry::Header, packet: &mut [u8]) {
+        (self.codec.stamp)(packet, 0);
+        let me = self.node.roster().me().node;
+        let agents = self.node.roster().agents(self.service);
+        let stops: Vec<_> = agents
+            .filter(|entry| entry.node != me)
+            .filter_map(roster::Entry::hop)
+            .collect();
+        for hop in stops {
+            header.stops = vec![carry::Stop {
+                service: self.service,
+                hop,
+            }];
+            self.post.packet(&self.packets, &header, packet);
+        }
+    }
+
+    fn to_caller(&mut self, ip: std::net::Ipv4Addr, bytes: &[u8]) {
+        let to = SocketAddrV4::new(ip, self.settings.packets.port());
+        self.post.plain(&self.packets, to, bytes);
+    }
+
+    /// Opens a connection to the upstream; only a refusal proves that it is gone.
+    fn probe(&self) {
+        let upstream = SocketAddr::V4(self.settings.upstream);
+        let probes = self.probes.clone();
+        tokio::spawn(async move {
+            let listens = match time::timeout(PROBE_LIMIT, TcpStream::connect(upstream)).await {
+                Ok(Ok(_stream)) => true,
+                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => false,
+                Ok(Err(error)) => {
+                    debug!(error:% = error; "upstream could not be probed");
+                    return;
+                }
+                Err(_elapsed) => {
+                    debug!("upstream does not answer a probe");
+                    return;
+                }
+            };
+            if probes.send(listens).await.is_err() {
+                debug!("agent has stopped before its probe ended");
+            }
+        });
+    }
+
+    fn flush(&mut self) {
+        for (hop, message) in self.flows.statements() {
+            self.post.message(&self.packets, hop.addr, &message);
+        }
+        for (to, message) in self.node.outgoing() {
+            self.post.message(&self.packets, to, &message);
+        }
+    }
+}
--- /dev/null
+++ b/src/carry.rs
@@ -0,0 +1,160 @@
+//! What balancers and agents put before a pass-through packet, and what they
+//! tell each other about members, flows and configuration.
+//!
+//! Layout within a sealed datagram of kind `Packet`: length of the header
+//! (2 bytes, big endian), the header in `MessagePack`, the packet. A sealed
+//! datagram of kind `Exchange` holds one [`Message`] in `MessagePack`.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{clock::Millis, header::Hop, ident, packet::Flow, roster};
+
+/// The version that this code writes and reads.
+pub const VERSION: u8 = 1;
+
+/// The most stops that a header may name.
+pub const MAX_STOPS: usize = 16;
+
+/// Flows in one statement, so that a datagram stays below 1,400 bytes.
+pub const MAX_FLOWS: usize = 32;
+
+/// Entries in one roster message, so that a datagram stays below 1,400 bytes.
+pub const MAX_ENTRIES: usize = 12;
+
+/// Bytes of configuration in one page.
+pub const PAGE_LEN: usize = 1_000;
+
+const LEN_BYTES: usize = 2;
+
+/// Why a datagram has no readable header.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The datagram ends within the header.
+    #[error("datagram ends within its header")]
+    Short,
+    /// The header is not `MessagePack` of this shape.
+    #[error("header cannot be read")]
+    Codec(#[from] rmp_serde::decode::Error),
+    /// Written by a version that this code does not know.
+    #[error("header is of version {0}")]
+    Version(u8),
+    /// No stop, or more than [`MAX_STOPS`].
+    #[error("header names {0} stops")]
+    Stops(usize),
+}
+
+/// An agent that a packet may be handed to, and the service it is meant for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Stop {
+    /// The service that the agent's upstream must serve.
+    pub service: ident::ServiceId,
+    /// The agent.
+    pub hop: Hop,
+}
+
+/// How a packet travels between agents.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Mode {
+    /// Along the stops, until one takes it.
+    Chain,
+    /// To the agent that stated to own the flow.
+    Owner,
+    /// To all agents of the service; only the owner delivers it.
+    Search,
+}
+
+/// The stop that could serve a new flow soonest, of those passed so far.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Best {
+    /// The stop.
+    pub stop: Stop,
+    /// Its expected wait for a free slot.
+    pub wait: Millis,
+}
+
+/// Tells an agent whom a packet is meant for and what to do if it is another's.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Header {
+    /// Format, [`VERSION`].
+    pub version: u8,
+    /// How the packet travels.
+    pub mode: Mode,
+    /// The failure domain in which the packet arrived.
+    pub origin: ident::DomainId,
+    /// The target first, then the candidates that come after it.
+    pub stops: Vec<Stop>,
+    /// The best stop so far, for a packet that opens a flow.
+    pub best: Option<Best>,
+    /// The agent that wants to hear who owns the flow.
+    pub asker: Option<Hop>,
+}
+
+/// One node's statement that it lives.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// The node as it is.
+    pub entry: roster::Entry,
+    /// Time until its next statement.
+    pub period: Millis,
+    /// Version of the configuration that it holds, 0 for none.
+    pub config: u64,
+}
+
+/// What nodes tell each other.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Message {
+    /// The sender lives.
+    Beat(Beat),
+    /// Nodes that the sender knows to live.
+    Roster(Vec<roster::Entry>),
+    /// The sender owns these flows.
+    Own {
+        /// The owner.
+        owner: Stop,
+        /// The flows.
+        flows: Vec<Flow>,
+    },
+    /// The sender wants the configuration in this version or a later one.
+    Want(u64),
+    /// A part of an encoded configuration.
+    Page {
+        /// Version of the configuration.
+        version: u64,
+        /// Number of this part, from 0.
+        index: u16,
+        /// Number of all parts.
+        total: u16,
+        /// The part.
+        bytes: Vec<u8>,
+    },
+}
+
+/// Writes the body of a `Packet` datagram up to the packet itself.
+///
+/// # Panics
+///
+/// Never: the header holds plain values, and its size has a bound.
+pub fn encode(header: &Header, out: &mut Vec<u8>) {
+    out.clear();
+    out.extend_from_slice(&[0; LEN_BYTES]);
+    rmp_serde::encode::write(out, header).expect("plain values can be written");
+    let len = u16::try_from(out.len() - LEN_BYTES).expect("the number of stops has a bound");
+    out[..LEN_BYTES].copy_from_slice(&len.to_be_bytes());
+}
+
+/// Splits the body of a `Packet` datagram into header and packet.
+pub fn decode(body: &[u8]) -> Result<(Header, &[u8]), Error> {
+    let (len, rest) = body.split_at_checked(LEN_BYTES).ok_or(Error::Short)?;
+    let len = usize::from(u16::from_be_bytes([len[0], len[1]]));
+    let (head, packet) = rest.split_at_checked(len).ok_or(Error::Short)?;
+    let header: Header = rmp_serde::from_slice(head)?;
+    if header.version != VERSION {
+        return Err(Error::Version(header.version));
+    }
+    let stops = header.stops.len();
+    if stops == 0 || stops > MAX_STOPS {
+        return Err(Error::Stops(stops));
+    }
+    Ok((header, packet))
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,225 @@
+//! The loop of a balancer of pass-through services.
+
+use std::{
+    net::SocketAddrV4,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Context;
+use log::{debug, info};
+use tokio::{net::UdpSocket, sync::mpsc, time};
+
+use crate::{carry, clock, ident, node, passage, post, roster, segment};
+
+/// Time between two rounds.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What one balancer is.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Unique in the fleet.
+    pub name: String,
+    /// The host's failure domain.
+    pub domain: String,
+    /// Where callers' packets arrive; callers are reached at the same port.
+    pub packets: SocketAddrV4,
+    /// Where messages of other nodes arrive.
+    pub control: SocketAddrV4,
+    /// Addresses for messages of some balancers.
+    pub seeds: Vec<SocketAddrV4>,
+    /// What all nodes of the fleet seal with.
+    pub secret: String,
+    /// Time from the order to stop until the end, in which the fabric turns away.
+    pub linger: clock::Millis,
+}
+
+/// What the adapter of a platform tells the loop.
+#[derive(Debug)]
+pub enum Event {
+    /// The configuration as the platform holds it.
+    Config(passage::Config),
+    /// Addresses for messages of the balancers that the platform knows.
+    Peers(Vec<SocketAddrV4>),
+    /// Whether the platform answers.
+    Platform(bool),
+    /// The process is to stop.
+    Stop,
+}
+
+struct Loop {
+    codec: segment::Codec,
+    packets: UdpSocket,
+    control: UdpSocket,
+    port: u16,
+    post: post::Post,
+    seed: u64,
+    node: node::Node,
+    tables: passage::Tables,
+    platform: bool,
+    clock: clock::Clock,
+}
+
+/// Forwards packets until the process is to stop; `ready` says whether the fabric
+/// may send some.
+pub async fn run(
+    settings: Settings,
+    codec: segment::Codec,
+    mut events: mpsc::Receiver<Event>,
+    ready: Arc<AtomicBool>,
+) -> anyhow::Result<()> {
+    let mut state = start(&settings, codec).await?;
+    let mut ticker = time::interval(TICK);
+    ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    let mut stop_at = None;
+    info!(name = settings.name, packets:% = settings.packets; "balancer runs");
+    loop {
+        tokio::select! {
+            result = state.packets.readable() => {
+                result.context("packets")?;
+                state.forward();
+            }
+            result = state.control.readable() => {
+                result.context("control")?;
+                state.listen();
+            }
+            event = events.recv() => match event {
+                Some(Event::Stop) | None if stop_at.is_none() => {
+                    info!(linger_ms = settings.linger.0; "balancer stops");
+                    stop_at = Some(state.clock.now() + settings.linger);
+                    state.node.update(|me| me.leaving = true);
+                }
+                Some(event) => state.event(event),
+                None => {}
+            },
+            _ = ticker.tick() => state.node.tick(state.clock.now()),
+        }
+        state.flush();
+        ready.store(stop_at.is_none() && state.is_ready(), Ordering::Relaxed);
+        if stop_at.is_some_and(|at| state.clock.now() >= at) {
+            info!("balancer has stopped");
+            return Ok(());
+        }
+    }
+}
+
+async fn start(settings: &Settings, codec: segment::Codec) -> anyhow::Result<Loop> {
+    let packets = post::bind(settings.packets).await.context("packets")?;
+    let control = post::bind(settings.control).await.context("control")?;
+    let post = post::Post::new(&settings.secret);
+    let clock = clock::Clock::new();
+    let me = roster::Entry {
+        node: ident::NodeId::of(&settings.name),
+        incarnation: ident::Incarnation::start(),
+        change: 0,
+        domain: ident::DomainId::of(&settings.domain),
+        control: settings.control,
+        leaving: false,
+        upstream: None,
+    };
+    let seed = me.incarnation.0;
+    Ok(Loop {
+        codec,
+        packets,
+        control,
+        port: settings.packets.port(),
+        seed: post.seed(),
+        post,
+        node: node::Node::new(me, settings.seeds.clone(), seed, clock.now()),
+        tables: passage::Tables::default(),
+        platform: false,
+        clock,
+    })
+}
+
+impl Loop {
+    fn is_ready(&self) -> bool {
+        let agents = || {
+            let mut rows = self.node.roster().rows().iter();
+            rows.any(|row| row.entry.upstream.is_some())
+        };
+        self.node.config().is_some() && agents()
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Config(config) => {
+                self.node.configure(config);
+            }
+            Event::Peers(addresses) => self.node.introduce(addresses),
+            Event::Platform(answers) if answers != self.platform => {
+                info!(answers = answers; "platform");
+                self.platform = answers;
+            }
+            Event::Platform(_) | Event::Stop => {}
+        }
+    }
+
+    fn forward(&mut self) {
+        let Self {
+            codec,
+            packets,
+            port,
+            post,
+            seed,
+            node,
+            tables,
+            platform,
+            ..
+        } = self;
+        tables.refresh(node.roster());
+        post::drain(packets, |bytes, _from| {
+            let segment = match (codec.parse)(bytes) {
+                Ok(segment) => segment,
+                Err(error) => {
+                    debug!(error:% = error; "packet cannot be read");
+                    return;
+                }
+            };
+            match passage::header(node.config(), tables, node.roster(), *seed, &segment) {
+                Ok(header) => post.packet(packets, &header, bytes),
+                Err(passage::Refusal::Route) if *platform && !segment.reset => {
+                    let flow = segment.inbound();
+                    let reset = (codec.reset)(&flow, segment.ack);
+                    post.plain(packets, SocketAddrV4::new(*flow.caller.ip(), *port), &reset);
+                }
+                Err(refusal) => debug!(refusal:? = refusal; "packet dropped"),
+            }
+        });
+    }
+
+    fn listen(&mut self) {
+        let Self {
+            control,
+            post,
+            node,
+            clock,
+            ..
+        } = self;
+        let now = clock.now();
+        post::drain(control, |bytes, from| match post.open(bytes) {
+            Ok(post::Content::Message(carry::Message::Own { .. }) | post::Content::Packet(..)) => {
+                debug!(from:% = from; "not for balancers");
+            }
+            Ok(post::Content::Message(message)) => {
+                node.message(from, message, now);
+            }
+            Err(error) => debug!(from:% = from, error:% = error; "datagram dropped"),
+        });
+    }
+
+    fn flush(&mut self) {
+        let Self {
+            control,
+            post,
+            node,
+            ..
+        } = self;
+        for (to, message) in node.outgoing() {
+            post.message(control, to, &message);
+        }
+    }
+}
--- /dev/null
+++ b/src/follow.rs
@@ -0,0 +1,143 @@
+//! Follows what the platform keeps: the configuration and the balancers' addresses.
+//!
+//! The adapter makes the calls; when to call, how long to wait and what to do
+//! after a failure is decided here.
+
+use std::net::SocketAddrV4;
+
+use log::{debug, warn};
+use thiserror::Error;
+use tokio::{sync::mpsc, time};
+
+use crate::{backoff, clock::Millis, entry::Event, passage};
+
+/// Time that one watch waits for a change; a connection that fell silent is
+/// noticed soon after it.
+pub const WAIT: Millis = Millis(5_000);
+
+/// Time between two reads of the balancers' addresses, which may be seconds old.
+const PEERS_PERIOD: Millis = Millis(15_000);
+
+/// Why a call gave nothing usable.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The platform no longer has the changes since the revision.
+    #[error("the platform has forgotten the changes since the revision")]
+    Forgotten,
+    /// The platform refused or failed.
+    #[error("the platform answered with status {0}")]
+    Status(u16),
+    /// No whole answer came in time.
+    #[error("no answer from the platform: {0}")]
+    Lost(String),
+    /// The answer could not be read.
+    #[error("the platform's answer cannot be read: {0}")]
+    Unreadable(String),
+}
+
+/// The configuration as of one revision of the platform.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The platform's revision.
+    pub revision: u64,
+    /// The configuration, none where it is not there or has not changed.
+    pub config: Option<passage::Config>,
+}
+
+/// Calls that an adapter makes.
+pub trait Calls {
+    /// Reads the configuration.
+    fn read(&self) -> impl Future<Output = Result<Snapshot, Error>>;
+
+    /// Waits for a change after a revision, `limit` at most.
+    fn wait(&self, after: u64, limit: Millis) -> impl Future<Output = Result<Snapshot, Error>>;
+
+    /// Writes a balancer's address, if another one is kept under its name.
+    fn register(
+        &self,
+        name: &str,
+        address: SocketAddrV4,
+    ) -> impl Future<Output = Result<(), Error>>;
+
+    /// Reads all balancers' addresses; `stale` where they may be seconds old.
+    fn peers(&self, stale: bool) -> impl Future<Output = Result<Vec<SocketAddrV4>, Error>>;
+}
+
+/// Hands each configuration to the loop, until the loop is gone.
+pub async fn config(calls: &impl Calls, seed: u64, events: mpsc::Sender<Event>) {
+    let mut backoff = backoff::Backoff::new(seed, u32::MAX);
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => calls.read().await,
+            Some(revision) => calls.wait(revision, WAIT).await,
+        };
+        let sent = match result {
+            Ok(snapshot) => {
+                backoff.reset(u32::MAX);
+                after = Some(snapshot.revision);
+                take(snapshot, &events).await
+            }
+            Err(Error::Forgotten) => {
+                debug!("the platform has forgotten; reading again");
+                after = None;
+                Ok(())
+            }
+            Err(error) => {
+                after = None;
+                let sent = events.send(Event::Platform(false)).await;
+                let wait = backoff.next_wait().unwrap_or(backoff::CAP);
+                warn!(wait_ms = wait.0, error:% = error; "configuration was not read");
+                time::sleep(wait.to_duration()).await;
+                sent
+            }
+        };
+        if sent.is_err() {
+            return;
+        }
+    }
+}
+
+async fn take(
+    snapshot: Snapshot,
+    events: &mpsc::Sender<Event>,
+) -> Result<(), mpsc::error::SendError<Event>> {
+    events.send(Event::Platform(true)).await?;
+    match snapshot.config {
+        Some(config) => events.send(Event::Config(config)).await,
+        None => Ok(()),
+    }
+}
+
+/// Writes a balancer's own address, until it is written.
+pub async fn register(calls: &impl Calls, seed: u64, name: &str, address: SocketAddrV4) {
+    let mut backoff = backoff::Backoff::new(seed, u32::MAX);
+    while let Err(error) = calls.register(name, address).await {
+        let wait = backoff.next_wait().unwrap_or(backoff::CAP);
+        warn!(wait_ms = wait.0, error:% = error; "own address was not written");
+        time::sleep(wait.to_duration()).await;
+    }
+}
+
+/// Hands the balancers' addresses on, at once and then now and then.
+pub async fn peers(calls: &impl Calls, seed: u64, hand: impl AsyncFn(Vec<SocketAddrV4>) -> bool) {
+    let mut backoff = backoff::Backoff::new(seed, u32::MAX);
+    let mut stale = false;
+    loop {
+        match calls.peers(stale).await {
+            Ok(addresses) => {
+                if !hand(addresses).await {
+                    return;
+                }
+                stale = true;
+                backoff.reset(u32::MAX);
+                time::sleep(PEERS_PERIOD.to_duration()).await;
+            }
+            Err(error) => {
+                let wait = backoff.next_wait().unwrap_or(backoff::CAP);
+                warn!(wait_ms = wait.0, error:% = error; "balancers' addresses were not read");
+                time::sleep(wait.to_duration()).await;
+            }
+        }
+    }
+}
--- a/src/ident.rs
+++ b/src/ident.rs
@@ -13,6 +13,10 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct ServiceId(pub u64);
 
+/// Identity of a failure domain, derived from its name.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct DomainId(pub u32);
+
 /// Identity of a balancer or an agent, derived from its name.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct NodeId(pub u64);
@@ -39,7 +43,22 @@
     }
 }
 
+impl DomainId {
+    /// The identity that belongs to a failure domain's name.
+    #[must_use]
+    pub fn of(name: &str) -> Self {
+        let [a, b, c, d, ..] = xxh3::xxh3_64_with_seed(name.as_bytes(), 3).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
 impl Incarnation {
+    /// An incarnation that compares greater than `other`.
+    #[must_use]
+    pub const fn after(other: Self) -> Self {
+        Self(other.0 + (1 << RANDOM_BITS))
+    }
+
     /// An incarnation that starts now: wall clock in milliseconds, then 16 random bits.
     #[must_use]
     pub fn start() -> Self {
--- /dev/null
+++ b/src/owner.rs
@@ -0,0 +1,802 @@
+//! What an agent of a pass-through service does with packets: a decision over its flows.
+//!
+//! The upstream ends its own flows, so the agent keeps a table of those it has seen
+//! there. A packet of another flow never reaches the upstream, unless the agent
+//! started after the upstream and cannot know.
+
+use std::mem;
+
+use serde::Serialize;
+
+use crate::{
+    carry::{Best, Header, MAX_FLOWS, Message, Mode, Stop, VERSION},
+    chains,
+    clock::Millis,
+    header::Hop,
+    ident::{DomainId, Incarnation, NodeId},
+    load,
+    packet::Flow,
+    roster,
+    segment::Segment,
+};
+
+/// Agents that are told of a flow: its home, and the next in case the home dies.
+pub const HOMES: usize = 2;
+
+/// Time within which a living upstream answers an opening packet.
+pub const ANSWER_LIMIT: Millis = Millis(100);
+
+/// Time for which no new flows are given to an upstream that did not answer.
+const SUSPECT: Millis = Millis(500);
+
+/// Time within which a new flow's first request is expected.
+const FIRST_REQUEST: Millis = Millis(100);
+
+/// Time after which an opened flow that the caller did not confirm is forgotten.
+const HALF_OPEN_LIMIT: Millis = Millis(3_000);
+
+/// Time for which an ended flow is remembered, since late packets still belong to it.
+const ENDED_LIMIT: Millis = Millis(5_000);
+
+/// Time without packets after which a flow, or who owns it, is forgotten.
+const IDLE_LIMIT: Millis = Millis(75_000);
+
+/// Time after which a request that has no answer no longer counts as load.
+const BUSY_LIMIT: Millis = Millis(15_000);
+
+/// Time between two searches for the owner of one flow.
+const SEARCH_INTERVAL: Millis = Millis(100);
+
+/// Owners and searches that one agent remembers.
+const MAX_ENTRIES: usize = 65_536;
+
+/// Delivered packets whose way on is remembered.
+const RING: usize = 1_024;
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Request {
+    since: Millis,
+    alone: bool,
+}
+
+/// A flow that the upstream holds.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Owned {
+    /// The flow.
+    pub flow: Flow,
+    origin: DomainId,
+    opened: Millis,
+    last: Millis,
+    isn: Option<u32>,
+    confirmed: bool,
+    fresh: bool,
+    ack: u32,
+    sent: Option<u32>,
+    request: Option<Request>,
+    caller_done: bool,
+    upstream_done: bool,
+    ended: Option<Millis>,
+    homes: [Option<(NodeId, Incarnation)>; HOMES],
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Redirect {
+    flow: Flow,
+    owner: Stop,
+    since: Millis,
+}
+
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Search {
+    flow: Flow,
+    last: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    token: u32,
+    flow: Flow,
+    header: Header,
+}
+
+#[derive(Clone, Debug)]
+struct Unanswered {
+    flow: Flow,
+    token: u32,
+    since: Millis,
+    bytes: Vec<u8>,
+}
+
+/// Why a packet was dropped.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+pub enum Reason {
+    /// Meant for another agent or service, with no stop left.
+    Target,
+    /// Opens a flow, and no agent of its chain takes it.
+    Full,
+    /// The owner is not known, and was searched for a moment ago.
+    Searched,
+    /// Searched for here, and not owned.
+    NotOwned,
+    /// Ends a flow that is not known.
+    Ended,
+}
+
+/// What to do with a packet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Hand it to the upstream under a token.
+    Deliver(u32),
+    /// Send it on to the first stop of the header.
+    Send(Header),
+    /// Send another packet, kept from before, on to the first stop of the header.
+    Resend(Header, Vec<u8>),
+    /// Send it to all other agents of the service.
+    Search(Header),
+    /// Send it to its caller.
+    Answer,
+    /// Tell the caller that a flow is gone, with a sequence number.
+    Reset(Flow, u32),
+    /// Find out whether the upstream still listens.
+    Probe,
+    /// Drop it.
+    Drop(Reason),
+}
+
+/// What a decision needs to know besides the flows.
+#[derive(Debug)]
+pub struct Around<'a> {
+    /// Whether the upstream takes new flows.
+    pub accepts: bool,
+    /// Whether the agent has seen all flows of the upstream.
+    pub complete: bool,
+    /// The chains of the service.
+    pub chains: &'a mut chains::Chains,
+    /// The nodes.
+    pub roster: &'a roster::Roster,
+    /// Seed of the flows' hashes.
+    pub seed: u64,
+    /// Now.
+    pub now: Millis,
+}
+
+/// The flows that an agent knows of, each table sorted by flow.
+#[derive(Debug)]
+pub struct Flows {
+    me: Stop,
+    load: load::Load,
+    owned: Vec<Owned>,
+    redirects: Vec<Redirect>,
+    searches: Vec<Search>,
+    ring: Vec<Option<Pending>>,
+    next: u32,
+    unanswered: Vec<Unanswered>,
+    suspect: Option<Millis>,
+    notices: Vec<(Hop, Flow)>,
+    placed: Option<u64>,
+}
+
+impl Flows {
+    /// No flows yet, at the agent that `me` names.
+    #[must_use]
+    pub fn new(me: Stop) -> Self {
+        Self {
+            me,
+            load: load::Load::new(1),
+            owned: Vec::new(),
+            redirects: Vec::new(),
+            searches: Vec::new(),
+            ring: vec![None; RING],
+            next: 1,
+            unanswered: Vec::new(),
+            suspect: None,
+            notices: Vec::new(),
+            placed: None,
+        }
+    }
+
+    /// The upstream's load.
+    #[must_use]
+    pub const fn load(&self) -> &load::Load {
+        &self.load
+    }
+
+    /// The upstream's load, to change it.
+    pub const fn load_mut(&mut self) -> &mut load::Load {
+        &mut self.load
+    }
+
+    /// The flows that the upstream holds.
+    #[must_use]
+    pub fn owned(&self) -> &[Owned] {
+        &self.owned
+    }
+
+    /// Flows whose owner elsewhere is known here.
+    #[must_use]
+    pub const fn redirects(&self) -> usize {
+        self.redirects.len()
+    }
+
+    /// Takes the agent's own stop, which changes when its run is numbered anew.
+    pub const fn rename(&mut self, me: Stop) {
+        self.me = me;
+    }
+
+    /// Whether the upstream did not answer a moment ago.
+    #[must_use]
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        self.suspect.is_some_and(|until| now < until)
+    }
+
+    /// Takes the upstream as living again.
+    pub const fn absolve(&mut self) {
+        self.suspect = None;
+    }
+
+    /// Decides on a caller's packet that a balancer or another agent sent.
+    pub fn inbound(
+        &mut self,
+        around: &mut Around<'_>,
+        header: Header,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        let target = header.stops[0];
+        if target.service != self.me.service || target.hop.node != self.me.hop.node {
+            return pass_or(header, Action::Drop(Reason::Target));
+        }
+        let flow = segment.inbound();
+        if let Ok(at) = self.position(&flow)
+            && confirm(&mut self.owned[at], segment)
+        {
+            return self.deliver_owned(at, &header, segment, around.now);
+        }
+        if segment.opening {
+            return self.open(around, header, segment, bytes);
+        }
+        self.unknown(around, header, segment)
+    }
+
+    /// Decides on a packet that the upstream sent or returned.
+    pub fn outbound(
+        &mut self,
+        around: &mut Around<'_>,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        if segment.bounced {
+            return self.bounced(around, segment, bytes);
+        }
+        self.suspect = None;
+        let flow = segment.outbound();
+        match self.position(&flow) {
+            Ok(at) => self.note_answer(at, segment, around.now),
+            Err(at) if !around.complete => self.learn(at, flow, segment, around),
+            Err(_) => {}
+        }
+        Action::Answer
+    }
+
+    /// Takes another agent's statement that it owns flows.
+    pub fn stated(&mut self, owner: Stop, flows: &[Flow], now: Millis) {
+        if owner.hop.node == self.me.hop.node {
+            return;
+        }
+        for flow in flows {
+            let confirmed = self
+                .position(flow)
+                .is_ok_and(|at| self.owned[at].confirmed);
+            if confirmed {
+                continue;
+            }
+            let entry = Redirect {
+                flow: *flow,
+                owner,
+                since: now,
+            };
+            match self.redirects.binary_search_by_key(flow, |r| r.flow) {
+                Ok(at) => self.redirects[at] = entry,
+                Err(at) if self.redirects.len() < MAX_ENTRIES => self.redirects.insert(at, entry),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Statements to send: each agent that is to know of flows, and a message to it.
+    pub fn statements(&mut self) -> Vec<(Hop, Message)> {
+        let mut notices = mem::take(&mut self.notices);
+        notices.sort_by_key(|(hop, flow)| (hop.node, *flow));
+        notices.dedup();
+        notices
+            .chunk_by(|a, b| a.0 == b.0)
+            .flat_map(|run| run.chunks(MAX_FLOWS))
+            .map(|run| {
+                let flows = run.iter().map(|(_, flow)| *flow).collect();
+                let owner = self.me;
+                (run[0].0, Message::Own { owner, flows })
+            })
+            .collect()
+    }
+
+    /// Runs one round: what has lapsed, who must hear of flows, who did not answer.
+    pub fn tick(&mut self, around: &mut Around<'_>, out: &mut Vec<Action>) {
+        let now = around.now;
+        self.lapse(now);
+        self.place(around);
+        let late: Vec<_> = self
+            .unanswered
+            .extract_if(.., |entry| now.since(entry.since) >= ANSWER_LIMIT)
+            .collect();
+        for entry in late {
+            self.unheard(entry, around, out);
+        }
+        if self.is_hanging(now) && !self.is_suspect(now) {
+            self.suspect = Some(now + SUSPECT);
+            out.push(Action::Probe);
+        }
+    }
+
+    /// Gives up all flows of an upstream that is gone; each caller is told.
+    pub fn lose(&mut self, out: &mut Vec<Action>) {
+        let open = self.owned.iter().filter(|flow| flow.ended.is_none());
+        out.extend(open.map(|owned| Action::Reset(owned.flow, owned.ack)));
+        self.owned.clear();
+        self.unanswered.clear();
+        self.suspect = None;
+        self.load = load::Load::new(self.load.slots());
+    }
+
+    fn position(&self, flow: &Flow) -> Result<usize, usize> {
+        self.owned.binary_search_by(|entry| entry.flow.cmp(flow))
+    }
+
+    fn deliver_owned(
+        &mut self,
+        at: usize,
+        header: &Header,
+        segment: &Segment,
+        now: Millis,
+    ) -> Action {
+        if let Some(asker) = header.asker.filter(|hop| hop.node != self.me.hop.node) {
+            self.notices.push((asker, self.owned[at].flow));
+        }
+        self.owned[at].origin = header.origin;
+        self.note_request(at, segment, now);
+        Action::Deliver(0)
+    }
+
+    fn note_request(&mut self, at: usize, segment: &Segment, now: Millis) {
+        let owned = &mut self.owned[at];
+        owned.last = now;
+        if segment.opening {
+            return;
+        }
+        owned.ack = segment.ack;
+        let end = segment
+            .seq
+            .wrapping_add(u32::try_from(segment.len).unwrap_or(0));
+        let news = owned.sent.is_none_or(|sent| is_after(end, sent));
+        if segment.len > 0 && news {
+            owned.sent = Some(end);
+            owned.fresh = false;
+            match &mut owned.request {
+                Some(request) => request.since = now,
+                None => {
+                    let alone = self.load.begin();
+                    owned.request = Some(Request { since: now, alone });
+                }
+            }
+        }
+        owned.caller_done |= segment.fin;
+        if segment.reset || (owned.caller_done && owned.upstream_done) {
+            owned.ended.get_or_insert(now);
+        }
+        if owned.ended.is_some() && owned.request.take().is_some() {
+            self.load.cancel();
+        }
+    }
+
+    fn note_answer(&mut self, at: usize, segment: &Segment, now: Millis) {
+        let owned = &mut self.owned[at];
+        owned.last = now;
+        if segment.accepting {
+            owned.isn = Some(segment.seq);
+            let flow = owned.flow;
+            self.unanswered.retain(|entry| entry.flow != flow);
+            return;
+        }
+        owned.confirmed = true;
+        if segment.len > 0
+            && let Some(request) = owned.request.take()
+        {
+            let took = request.alone.then(|| now.since(request.since));
+            self.load.answer(took);
+        }
+        owned.upstream_done |= segment.fin;
+        if segment.reset || (owned.caller_done && owned.upstream_done) {
+            owned.ended.get_or_insert(now);
+            if owned.request.take().is_some() {
+                self.load.cancel();
+            }
+        }
+    }
+
+    /// Notes a flow that the upstream has had since before this process started.
+    fn learn(&mut self, at: usize, flow: Flow, segment: &Segment, around: &Around<'_>) {
+        let mut owned = new_owned(flow, around.roster.me().domain, around.now);
+        owned.confirmed = !segment.accepting;
+        owned.isn = segment.accepting.then_some(segment.seq);
+        owned.fresh = false;
+        owned.ack = segment.seq;
+        self.owned.insert(at, owned);
+    }
+
+    fn open(
+        &mut self,
+        around: &mut Around<'_>,
+        mut header: Header,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        let flow = segment.inbound();
+        if let Some(owner) = self.redirect(&flow, around)
+            && header.mode != Mode::Owner
+        {
+            return Action::Send(directed(header, owner, Mode::Owner));
+        }
+        let takes = around.accepts && !self.is_suspect(around.now);
+        let expected = self.expected(around.now);
+        if takes && self.load.has_room(expected) {
+            return self.accept(around, header, segment, bytes);
+        }
+        let own = takes.then(|| Best {
+            stop: self.me,
+            wait: self.load.wait(expected),
+        });
+        header.best = better(header.best, own);
+        if header.stops.len() > 1 {
+            return next(header);
+        }
+        match header.best.take() {
+            None => Action::Drop(Reason::Full),
+            Some(best) if best.stop.hop.node == self.me.hop.node => {
+                self.accept(around, header, segment, bytes)
+            }
+            Some(best) => Action::Send(directed(header, best.stop, Mode::Chain)),
+        }
+    }
+
+    fn accept(
+        &mut self,
+        around: &mut Around<'_>,
+        header: Header,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        let flow = segment.inbound();
+        let mut owned = new_owned(flow, header.origin, around.now);
+        owned.homes = self.notify(around, &flow, header.origin, owned.homes);
+        match self.position(&flow) {
+            Ok(at) => self.owned[at] = owned,
+            Err(at) => self.owned.insert(at, owned),
+        }
+        if let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow) {
+            self.redirects.remove(at);
+        }
+        let token = self.remember(flow, header);
+        self.unanswered.push(Unanswered {
+            flow,
+            token,
+            since: around.now,
+            bytes: bytes.to_vec(),
+        });
+        Action::Deliver(token)
+    }
+
+    fn unknown(
+        &mut self,
+        around: &mut Around<'_>,
+        mut header: Header,
+        segment: &Segment,
+    ) -> Action {
+        let flow = segment.inbound();
+        if header.mode != Mode::Search
+            && let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow) {
+            let owner = self.redirects[at].owner;
+            if around.roster.is_gone(&owner.hop) {
+                self.redirects.remove(at);
+                return Action::Reset(flow, segment.ack);
+            }
+            if header.mode != Mode::Owner {
+                header.asker.get_or_insert(self.me.hop);
+                return Action::Send(directed(header, owner, Mode::Owner));
+            }
+        }
+        if !around.complete && !segment.reset {
+            let token = self.remember(flow, header);
+            return Action::Deliver(token);
+        }
+        if header.mode == Mode::Search {
+            return Action::Drop(Reason::NotOwned);
+        }
+        if segment.reset {
+            return Action::Drop(Reason::Ended);
+        }
+        header.asker.get_or_insert(self.me.hop);
+        if header.stops.len() > 1 {
+            return next(header);
+        }
+        self.search(header, flow, around.now)
+    }
+
+    fn search(&mut self, header: Header, flow: Flow, now: Millis) -> Action {
+        match self.searches.binary_search_by_key(&flow, |s| s.flow) {
+            Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => {
+                return Action::Drop(Reason::Searched);
+            }
+            Ok(at) => self.searches[at].last = now,
+            Err(at) if self.searches.len() < MAX_ENTRIES => {
+                self.searches.insert(at, Search { flow, last: now });
+            }
+            Err(_) => return Action::Drop(Reason::Searched),
+        }
+        Action::Search(Header {
+            mode: Mode::Search,
+            ..header
+        })
+    }
+
+    fn bounced(&mut self, around: &mut Around<'_>, segment: &Segment, bytes: &[u8]) -> Action {
+        let flow = segment.inbound();
+        let pending = self.recall(segment.token, &flow);
+        if segment.opening {
+            self.unanswered.retain(|entry| entry.flow != flow);
+            self.forget(&flow);
+            let Some(mut header) = pending else {
+                return Action::Drop(Reason::Full);
+            };
+            if header.stops.len() > 1 {
+                return next(header);
+            }
+            return match header.best.take() {
+                Some(best) if best.stop.hop.node != self.me.hop.node => {
+                    Action::Send(directed(header, best.stop, Mode::Chain))
+                }
+                _ => Action::Drop(Reason::Full),
+            };
+        }
+        if let Ok(at) = self.position(&flow) {
+            let owned = self.owned[at];
+            self.forget(&flow);
+            if owned.ended.is_some() || segment.reset {
+                return Action::Drop(Reason::Ended);
+            }
+            if owned.confirmed {
+                return Action::Reset(flow, segment.ack);
+            }
+        }
+        let Some(header) = pending else {
+            return Action::Drop(Reason::NotOwned);
+        };
+        let mut known = Around {
+            accepts: around.accepts,
+            complete: true,
+            chains: around.chains,
+            roster: around.roster,
+            seed: around.seed,
+            now: around.now,
+        };
+        let _ = bytes;
+        self.unknown(&mut known, header, segment)
+    }
+
+    fn forget(&mut self, flow: &Flow) {
+        if let Ok(at) = self.position(flow) {
+            let owned = self.owned.remove(at);
+            if owned.request.is_some() {
+                self.load.cancel();
+            }
+        }
+    }
+
+    /// New flows whose first request has not come yet.
+    fn expected(&self, now: Millis) -> u32 {
+        let count = self
+            .owned
+            .iter()
+            .filter(|owned| owned.fresh && now.since(owned.opened) < FIRST_REQUEST)
+            .count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    fn redirect(&self, flow: &Flow, around: &Around<'_>) -> Option<Stop> {
+        let at = self
+            .redirects
+            .binary_search_by_key(flow, |r| r.flow)
+            .ok()?;
+        let owner = self.redirects[at].owner;
+        (!around.roster.is_gone(&owner.hop)).then_some(owner)
+    }
+
+    fn remember(&mut self, flow: Flow, header: Header) -> u32 {
+        let token = self.next;
+        self.next = self.next.checked_add(1).unwrap_or(1);
+        self.ring[slot(token)] = Some(Pending {
+            token,
+            flow,
+            header,
+        });
+        token
+    }
+
+    fn recall(&mut self, token: u32, flow: &Flow) -> Option<Header> {
+        let place = &mut self.ring[slot(token)];
+        let fits = place
+            .as_ref()
+            .is_some_and(|pending| pending.token == token && pending.flow == *flow);
+        if fits {
+            place.take().map(|pending| pending.header)
+        } else {
+            None
+        }
+    }
+
+    /// Passes an opening packet on that the upstream left without an answer.
+    fn unheard(&mut self, entry: Unanswered, around: &Around<'_>, out: &mut Vec<Action>) {
+        if !self.is_suspect(around.now) {
+            self.suspect = Some(around.now + SUSPECT);
+            out.push(Action::Probe);
+        }
+        let Some(header) = self.recall(entry.token, &entry.flow) else {
+            return;
+        };
+        if let Action::Send(header) = pass_or(header, Action::Drop(Reason::Full)) {
+            out.push(Action::Resend(header, entry.bytes));
+        }
+    }
+
+    /// Whether requests are in hand and nothing was heard of any flow for long.
+    fn is_hanging(&self, now: Millis) -> bool {
+        let busy = self.owned.iter().filter(|owned| owned.request.is_some());
+        let oldest = busy.clone().map(|owned| owned.last).max();
+        let limit = Millis(self.load.mean().0.saturating_mul(10)).max(SUSPECT);
+        oldest.is_some_and(|last| now.since(last) > limit) && busy.count() > 0
+    }
+
+    fn lapse(&mut self, now: Millis) {
+        let load = &mut self.load;
+        for owned in &mut self.owned {
+            let stuck = |request: &Request| now.since(request.since) >= BUSY_LIMIT;
+            if owned.request.as_ref().is_some_and(stuck) {
+                owned.request = None;
+                load.cancel();
+            }
+        }
+        self.owned.retain(|owned| {
+            let lapsed = is_lapsed(owned, now);
+            if lapsed && owned.request.is_some() {
+                load.cancel();
+            }
+            !lapsed
+        });
+        self.redirects
+            .retain(|entry| now.since(entry.since) < IDLE_LIMIT);
+        self.searches
+            .retain(|entry| now.since(entry.last) < ENDED_LIMIT);
+    }
+
+    /// Tells agents that have become homes of flows owned here.
+    fn place(&mut self, around: &mut Around<'_>) {
+        if self.placed == Some(around.roster.revision()) {
+            return;
+        }
+        self.placed = Some(around.roster.revision());
+        for at in 0..self.owned.len() {
+            let owned = self.owned[at];
+            if owned.ended.is_none() {
+                self.owned[at].homes =
+                    self.notify(around, &owned.flow, owned.origin, owned.homes);
+            }
+        }
+    }
+
+    fn notify(
+        &mut self,
+        around: &mut Around<'_>,
+        flow: &Flow,
+        origin: DomainId,
+        told: [Option<(NodeId, Incarnation)>; HOMES],
+    ) -> [Option<(NodeId, Incarnation)>; HOMES] {
+        let mut homes = [None; HOMES];
+        let chain = around.chains.chain(origin, flow.hash(around.seed));
+        for (home, stop) in homes.iter_mut().zip(chain) {
+            let key = (stop.hop.node, stop.hop.incarnation);
+            *home = Some(key);
+            if stop.hop.node != self.me.hop.node && !told.contains(home) {
+                self.notices.push((stop.hop, *flow));
+            }
+        }
+        homes
+    }
+}
+
+const fn slot(token: u32) -> usize {
+    token as usize % RING
+}
+
+const fn new_owned(flow: Flow, origin: DomainId, now: Millis) -> Owned {
+    Owned {
+        flow,
+        origin,
+        opened: now,
+        last: now,
+        isn: None,
+        confirmed: false,
+        fresh: true,
+        ack: 0,
+        sent: None,
+        request: None,
+        caller_done: false,
+        upstream_done: false,
+        ended: None,
+        homes: [None; HOMES],
+    }
+}
+
+/// Whether the packet belongs to the flow as the upstream holds it.
+///
+/// Of two agents that took one opening packet, the caller's first acknowledgement
+/// tells which one it speaks to.
+const fn confirm(owned: &mut Owned, segment: &Segment) -> bool {
+    if owned.confirmed || segment.opening || segment.reset {
+        return true;
+    }
+    let Some(isn) = owned.isn else {
+        return false;
+    };
+    owned.confirmed = segment.ack == isn.wrapping_add(1);
+    owned.confirmed
+}
+
+fn is_lapsed(owned: &Owned, now: Millis) -> bool {
+    let half_open = !owned.confirmed && now.since(owned.opened) >= HALF_OPEN_LIMIT;
+    let ended = owned.ended.is_some_and(|at| now.since(at) >= ENDED_LIMIT);
+    half_open || ended || now.since(owned.last) >= IDLE_LIMIT
+}
+
+/// Whether sequence number `a` comes after `b` (RFC 1982 arithmetic).
+const fn is_after(a: u32, b: u32) -> bool {
+    let ahead = a.wrapping_sub(b);
+    ahead != 0 && ahead < 1 << 31
+}
+
+fn better(a: Option<Best>, b: Option<Best>) -> Option<Best> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(if b.wait < a.wait { b } else { a }),
+        (a, b) => a.or(b),
+    }
+}
+
+fn directed(header: Header, to: Stop, mode: Mode) -> Header {
+    Header {
+        version: VERSION,
+        mode,
+        stops: vec![to],
+        best: None,
+        ..header
+    }
+}
+
+fn next(mut header: Header) -> Action {
+    header.stops.remove(0);
+    Action::Send(header)
+}
+
+fn pass_or(header: Header, otherwise: Action) -> Action {
+    if header.stops.len() > 1 && header.mode == Mode::Chain {
+        next(header)
+    } else {
+        otherwise
+    }
+}
--- /dev/null
+++ b/src/post.rs
@@ -0,0 +1,154 @@
+//! Sealed datagrams between nodes of pass-through services.
+
+use std::{
+    io,
+    net::{SocketAddr, SocketAddrV4},
+};
+
+use log::debug;
+use thiserror::Error;
+use tokio::net::UdpSocket;
+
+use crate::{carry, seal, udp};
+
+/// Bytes of the longest datagram that is read.
+pub const MAX_LEN: usize = 2_048;
+
+/// Datagrams that are read from one socket before the others get their turn.
+pub const BURST: usize = 64;
+
+/// Why a datagram of another node was dropped.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// Not sealed by a node of this fleet.
+    #[error("datagram is not sealed by a node of this fleet")]
+    Seal(#[from] seal::Error),
+    /// Its header cannot be read.
+    #[error(transparent)]
+    Header(#[from] carry::Error),
+    /// Its message cannot be read.
+    #[error("message cannot be read")]
+    Message(#[from] rmp_serde::decode::Error),
+    /// Of a kind that these nodes do not use.
+    #[error("datagram of kind {0:?} is not used here")]
+    Kind(seal::Kind),
+}
+
+/// What a datagram of another node holds.
+#[derive(Debug)]
+pub enum Content<'a> {
+    /// A packet under way.
+    Packet(carry::Header, &'a [u8]),
+    /// A message.
+    Message(carry::Message),
+}
+
+/// Seals what is sent and counts what could not be.
+#[derive(Debug)]
+pub struct Post {
+    sealer: seal::Sealer,
+    head: Vec<u8>,
+    sealed: Vec<u8>,
+    unsent: u64,
+}
+
+impl Post {
+    /// A post under the fleet's secret.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        Self {
+            sealer: seal::Sealer::new(secret),
+            head: Vec::new(),
+            sealed: Vec::new(),
+            unsent: 0,
+        }
+    }
+
+    /// Seed of the flows' hashes, the same in the whole fleet.
+    #[must_use]
+    pub fn seed(&self) -> u64 {
+        self.sealer.seed()
+    }
+
+    /// Datagrams that the host did not take.
+    #[must_use]
+    pub const fn unsent(&self) -> u64 {
+        self.unsent
+    }
+
+    /// Opens a datagram of another node.
+    pub fn open<'a>(&self, datagram: &'a [u8]) -> Result<Content<'a>, Error> {
+        match self.sealer.open(datagram)? {
+            (seal::Kind::Packet, body) => {
+                let (header, packet) = carry::decode(body)?;
+                Ok(Content::Packet(header, packet))
+            }
+            (seal::Kind::Exchange, body) => Ok(Content::Message(rmp_serde::from_slice(body)?)),
+            (kind, _) => Err(Error::Kind(kind)),
+        }
+    }
+
+    /// Sends a packet to the first stop of its header.
+    pub fn packet(&mut self, socket: &UdpSocket, header: &carry::Header, packet: &[u8]) {
+        let Some(stop) = header.stops.first() else {
+            return;
+        };
+        carry::encode(header, &mut self.head);
+        self.sealer.seal(
+            seal::Kind::Packet,
+            &[&self.head, packet],
+            &mut self.sealed,
+        );
+        let sent = socket.try_send_to(&self.sealed, SocketAddr::V4(stop.hop.addr));
+        self.note(&sent, stop.hop.addr);
+    }
+
+    /// Sends a message.
+    pub fn message(&mut self, socket: &UdpSocket, to: SocketAddrV4, message: &carry::Message) {
+        self.head.clear();
+        if let Err(error) = rmp_serde::encode::write(&mut self.head, message) {
+            debug!(to:% = to, error:% = error; "message cannot be written");
+            return;
+        }
+        self.sealer
+            .seal(seal::Kind::Exchange, &[&self.head], &mut self.sealed);
+        let sent = socket.try_send_to(&self.sealed, SocketAddr::V4(to));
+        self.note(&sent, to);
+    }
+
+    /// Sends bytes as they are.
+    pub fn plain(&mut self, socket: &UdpSocket, to: SocketAddrV4, bytes: &[u8]) {
+        let sent = socket.try_send_to(bytes, SocketAddr::V4(to));
+        self.note(&sent, to);
+    }
+
+    fn note(&mut self, sent: &io::Result<usize>, to: SocketAddrV4) {
+        if let Err(error) = sent {
+            self.unsent += 1;
+            debug!(to:% = to, error:% = error; "datagram was not sent");
+        }
+    }
+}
+
+/// Binds a socket of the runtime and waits until it takes datagrams.
+pub async fn bind(addr: SocketAddrV4) -> io::Result<UdpSocket> {
+    let socket = UdpSocket::from_std(udp::bind(addr)?)?;
+    socket.writable().await?;
+    Ok(socket)
+}
+
+/// Reads what has arrived, [`BURST`] datagrams at most.
+pub fn drain(socket: &UdpSocket, mut take: impl FnMut(&mut [u8], SocketAddrV4)) {
+    let mut buffer = [0; MAX_LEN];
+    for _ in 0..BURST {
+        match socket.try_recv_from(&mut buffer) {
+            Ok((len, SocketAddr::V4(from))) => take(&mut buffer[..len], from),
+            Ok((_, SocketAddr::V6(_))) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                debug!(error:% = error; "datagram was not received");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/roster.rs
@@ -0,0 +1,317 @@
+//! Who is there: balancers and agents of pass-through services.
+//!
+//! Each node states to the others that it lives; nobody states that another one
+//! does not. A node that has been silent for some periods is left out of tables
+//! and forgotten much later.
+
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{clock::Millis, header::Hop, ident, member};
+
+/// Shortest time between two statements of one node.
+pub const PERIOD: Millis = Millis(400);
+
+/// What each known node adds to the period, so that the statements which one
+/// node takes a second have a bound.
+pub const PERIOD_PER_NODE: Millis = Millis(4);
+
+/// Half periods after which a node counts as silent.
+const SILENT_HALVES: u64 = 7;
+
+/// Time after which a silent node is forgotten.
+pub const FORGET: Millis = Millis(60_000);
+
+/// Longest time between two ticks; a longer one means that this process stood still.
+const STALL: Millis = Millis(500);
+
+/// An agent's upstream, as the agent states it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Upstream {
+    /// The service.
+    pub service: ident::ServiceId,
+    /// Where the agent takes packets.
+    pub packets: SocketAddrV4,
+    /// What the upstream does with new flows, none where there is no upstream.
+    pub state: Option<member::State>,
+    /// Capacity in steps, see [`member::capacity`].
+    pub step: u8,
+}
+
+/// A node as it states itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Entry {
+    /// The node.
+    pub node: ident::NodeId,
+    /// The run of its process.
+    pub incarnation: ident::Incarnation,
+    /// Counts the changes of this entry within the incarnation.
+    pub change: u32,
+    /// The host's failure domain.
+    pub domain: ident::DomainId,
+    /// Where the node takes messages.
+    pub control: SocketAddrV4,
+    /// Whether the process is being stopped.
+    pub leaving: bool,
+    /// The upstream of an agent, none for a balancer.
+    pub upstream: Option<Upstream>,
+}
+
+impl Entry {
+    /// Whether this entry replaces `other` of the same node.
+    #[must_use]
+    pub fn is_newer(&self, other: &Self) -> bool {
+        (self.incarnation, self.change) > (other.incarnation, other.change)
+    }
+
+    /// The agent as a hop, none for a balancer.
+    #[must_use]
+    pub fn hop(&self) -> Option<Hop> {
+        self.upstream.map(|upstream| Hop {
+            node: self.node,
+            incarnation: self.incarnation,
+            addr: upstream.packets,
+        })
+    }
+
+    /// The service of an agent's upstream.
+    #[must_use]
+    pub fn service(&self) -> Option<ident::ServiceId> {
+        self.upstream.map(|upstream| upstream.service)
+    }
+}
+
+/// A node that is known here.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    /// The node as it last stated itself.
+    pub entry: Entry,
+    /// When it was last heard of.
+    pub heard: Millis,
+    /// Time between its statements.
+    pub period: Millis,
+    /// Whether it has stated itself here, not only through others.
+    pub direct: bool,
+    /// Whether it has been silent for some periods.
+    pub silent: bool,
+}
+
+/// What a statement changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Merge {
+    /// A node, or a run of it, that was not known.
+    New,
+    /// A known node has changed.
+    Changed,
+    /// A known node, as it was.
+    Same,
+    /// An older statement.
+    Old,
+}
+
+/// All nodes that are known here, sorted by node, without this one.
+#[derive(Clone, Debug, Serialize)]
+pub struct Roster {
+    me: Entry,
+    rows: Vec<Row>,
+    ticked: Millis,
+    revision: u64,
+}
+
+impl Roster {
+    /// A roster of this node alone.
+    #[must_use]
+    pub const fn new(me: Entry, now: Millis) -> Self {
+        Self {
+            me,
+            rows: Vec::new(),
+            ticked: now,
+            revision: 0,
+        }
+    }
+
+    /// This node.
+    #[must_use]
+    pub const fn me(&self) -> &Entry {
+        &self.me
+    }
+
+    /// The other nodes.
+    #[must_use]
+    pub fn rows(&self) -> &[Row] {
+        &self.rows
+    }
+
+    /// Grows with each change that a table of candidates may depend on.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Time between two statements of this node, which grows with the nodes known.
+    #[must_use]
+    pub fn period(&self) -> Millis {
+        let nodes = u64::try_from(self.rows.len()).unwrap_or(u64::MAX);
+        PERIOD.max(Millis(PERIOD_PER_NODE.0.saturating_mul(nodes)))
+    }
+
+    /// Changes this node's entry; false where the change leaves it as it was.
+    pub fn update(&mut self, change: impl FnOnce(&mut Entry)) -> bool {
+        let before = self.me.clone();
+        change(&mut self.me);
+        if self.me == before {
+            return false;
+        }
+        self.me.change += 1;
+        self.revision += 1;
+        true
+    }
+
+    /// Takes a node's own statement, or what another node (`direct` false) says of it.
+    ///
+    /// A statement about this node under a later run than its own means that the
+    /// wall clock went back between two starts: this run then takes a later number.
+    pub fn merge(&mut self, entry: &Entry, period: Millis, direct: bool, now: Millis) -> Merge {
+        if entry.node == self.me.node {
+            if entry.incarnation > self.me.incarnation {
+                self.me.incarnation = ident::Incarnation::after(entry.incarnation);
+                self.revision += 1;
+            }
+            return Merge::Old;
+        }
+        let found = self
+            .rows
+            .binary_search_by_key(&entry.node, |row| row.entry.node);
+        match found {
+            Err(at) => self.insert(at, entry, period, direct, now),
+            Ok(at) => self.refresh(at, entry, period, direct, now),
+        }
+    }
+
+    /// Marks silent nodes and forgets those that are gone for long.
+    pub fn tick(&mut self, now: Millis) {
+        let gap = now.since(self.ticked);
+        self.ticked = now;
+        if gap > STALL {
+            for row in &mut self.rows {
+                row.heard = row.heard + gap;
+            }
+        }
+        let before = self.rows.len();
+        self.rows.retain(|row| now.since(row.heard) < FORGET);
+        let mut changed = before != self.rows.len();
+        for row in &mut self.rows {
+            let silent = now.since(row.heard).0 > row.period.0 * SILENT_HALVES / 2;
+            changed |= silent != row.silent;
+            row.silent = silent;
+        }
+        self.revision += u64::from(changed);
+    }
+
+    /// A node by its identity.
+    #[must_use]
+    pub fn find(&self, node: ident::NodeId) -> Option<&Row> {
+        self.rows
+            .binary_search_by_key(&node, |row| row.entry.node)
+            .ok()
+            .map(|at| &self.rows[at])
+    }
+
+    /// Whether the run of an agent that `hop` names has ended or been silent for long.
+    #[must_use]
+    pub fn is_gone(&self, hop: &Hop) -> bool {
+        if hop.node == self.me.node {
+            return hop.incarnation < self.me.incarnation;
+        }
+        self.find(hop.node).is_none_or(|row| {
+            row.silent || row.entry.leaving || row.entry.incarnation > hop.incarnation
+        })
+    }
+
+    /// The agents of a service that have not said that they leave, with this node.
+    pub fn agents(&self, service: ident::ServiceId) -> impl Iterator<Item = &Entry> {
+        std::iter::once(&self.me)
+            .chain(self.rows.iter().map(|row| &row.entry))
+            .filter(move |entry| entry.service() == Some(service) && !entry.leaving)
+    }
+
+    /// The agents of a service that take new flows, with this node.
+    ///
+    /// Silent ones are left out unless more than half of the service fell silent,
+    /// which says more about this node than about them.
+    #[must_use]
+    pub fn ready(&self, service: ident::ServiceId) -> Vec<&Entry> {
+        let ready = |entry: &Entry| {
+            !entry.leaving
+                && entry.upstream.is_some_and(|upstream| {
+                    upstream.service == service && upstream.state == Some(member::State::Ready)
+                })
+        };
+        let all: Vec<_> = self.rows.iter().filter(|row| ready(&row.entry)).collect();
+        let silent = all.iter().filter(|row| row.silent).count();
+        let keep = silent * 2 > all.len();
+        let mut entries: Vec<_> = all
+            .into_iter()
+            .filter(|row| keep || !row.silent)
+            .map(|row| &row.entry)
+            .collect();
+        if ready(&self.me) {
+            entries.push(&self.me);
+        }
+        entries.sort_by_key(|entry| entry.node);
+        entries
+    }
+
+    fn insert(
+        &mut self,
+        at: usize,
+        entry: &Entry,
+        period: Millis,
+        direct: bool,
+        now: Millis,
+    ) -> Merge {
+        let row = Row {
+            entry: entry.clone(),
+            heard: now,
+            period,
+            direct,
+            silent: false,
+        };
+        self.rows.insert(at, row);
+        self.revision += 1;
+        Merge::New
+    }
+
+    fn refresh(
+        &mut self,
+        at: usize,
+        entry: &Entry,
+        period: Millis,
+        direct: bool,
+        now: Millis,
+    ) -> Merge {
+        let row = &mut self.rows[at];
+        let newer = entry.is_newer(&row.entry);
+        let same = *entry == row.entry;
+        if !newer && !same {
+            return Merge::Old;
+        }
+        if !newer && !direct {
+            return Merge::Same;
+        }
+        let run = entry.incarnation > row.entry.incarnation;
+        let back = row.silent || (direct && !row.direct);
+        row.entry.clone_from(entry);
+        row.heard = now;
+        row.period = period;
+        row.direct |= direct;
+        row.silent = false;
+        self.revision += u64::from(newer || back);
+        match (run || back, newer) {
+            (true, _) => Merge::New,
+            (false, true) => Merge::Changed,
+            (false, false) => Merge::Same,
+        }
+    }
+}
--- a/src/table.rs
+++ b/src/table.rs
@@ -14,7 +14,9 @@
 /// Candidates of one bucket.
 pub const CHAIN_LEN: usize = 3;
 
-const NONE: u16 = u16::MAX;
+/// Stands for no candidate among indices.
+pub const NONE: u16 = u16::MAX;
+
 const MANTISSA_BITS: u32 = 53;
 
 /// An upstream that takes part in a table.
@@ -48,7 +50,7 @@
             Vec::new()
         } else {
             (0..BUCKETS)
-                .map(|bucket| rank(service, bucket, &candidates))
+                .map(|bucket| rank(service, bucket, candidates.iter().copied()))
                 .collect()
         };
         Self {
@@ -84,19 +86,21 @@
     (hash % BUCKETS as u64) as usize
 }
 
-fn rank(service: ident::ServiceId, bucket: usize, candidates: &[Candidate]) -> [u16; CHAIN_LEN] {
-    let mut best = [(f64::NEG_INFINITY, NONE); CHAIN_LEN];
-    for (index, candidate) in candidates.iter().enumerate().take(usize::from(NONE)) {
-        let entry = (
-            score(service, bucket, candidate),
-            u16::try_from(index).unwrap_or(NONE),
-        );
-        insert(&mut best, entry);
+/// The first `LEN` candidates of a bucket as indices, [`NONE`] where there are fewer.
+#[must_use]
+pub fn rank<const LEN: usize>(
+    service: ident::ServiceId,
+    bucket: usize,
+    candidates: impl IntoIterator<Item = Candidate>,
+) -> [u16; LEN] {
+    let mut best = [(f64::NEG_INFINITY, NONE); LEN];
+    for (index, candidate) in (0..NONE).zip(candidates) {
+        insert(&mut best, (score(service, bucket, &candidate), index));
     }
     best.map(|(_, index)| index)
 }
 
-fn insert(best: &mut [(f64, u16); CHAIN_LEN], entry: (f64, u16)) {
+fn insert(best: &mut [(f64, u16)], entry: (f64, u16)) {
     let Some(place) = best.iter().position(|other| entry.0 > other.0) else {
         return;
     };
