--- a/src/beside.rs
+++ b/src/beside.rs
@@ -349,6 +349,9 @@
             Ok(post::Content::Message(carry::Message::Own { owner, flows })) => {
                 self.flows.stated(owner, &flows, now);
             }
+            Ok(post::Content::Message(carry::Message::Unowned { node, flows })) => {
+                self.flows.disowned(node, &flows);
+            }
             Ok(post::Content::Message(message)) => {
                 self.node.message(from, message, now);
             }
@@ -404,7 +407,7 @@
             seed: self.seed,
             now: self.clock.now(),
         };
-        let action = self.flows.outbound(&mut around, &segment, &packet);
+        let action = self.flows.outbound(&mut around, &segment);
         if action == owner::Action::Answer {
             self.to_caller(*segment.to.ip(), &packet);
         } else {
@@ -427,6 +430,13 @@
                 self.post.packet(&self.packets, &header, &bytes);
             }
             owner::Action::Search(header) => self.search(header, packet),
+            owner::Action::Disown(asker, flow) => {
+                let message = carry::Message::Unowned {
+                    node: self.node.roster().me().node,
+                    flows: vec![flow],
+                };
+                self.post.message(&self.packets, asker.addr, &message);
+            }
             owner::Action::Reset(flow, seq) => {
                 let reset = (self.codec.reset)(&flow, seq);
                 self.to_caller(*flow.caller.ip(), &reset);
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -115,6 +115,13 @@
         /// The flows.
         flows: Vec<Flow>,
     },
+    /// The sender was searched for these flows and does not own them.
+    Unowned {
+        /// Who does not own them.
+        node: ident::NodeId,
+        /// The flows.
+        flows: Vec<Flow>,
+    },
     /// The sender wants the configuration in this version or a later one.
     Want(u64),
     /// A part of an encoded configuration.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,7 +13,7 @@
 use log::{debug, info};
 use tokio::{net::UdpSocket, sync::mpsc, time};
 
-use crate::{carry, clock, ident, node, passage, post, roster, segment};
+use crate::{clock, ident, node, passage, post, roster, segment};
 
 /// Time between two rounds.
 const TICK: Duration = Duration::from_millis(100);
@@ -201,9 +201,7 @@
         } = self;
         let now = clock.now();
         post::drain(control, |bytes, from| match post.open(bytes) {
-            Ok(post::Content::Message(carry::Message::Own { .. }) | post::Content::Packet(..)) => {
-                debug!(from:% = from; "not for balancers");
-            }
+            Ok(post::Content::Packet(..)) => debug!(from:% = from; "not for balancers"),
             Ok(post::Content::Message(message)) => {
                 node.message(from, message, now);
             }
--- a/src/node.rs
+++ b/src/node.rs
@@ -143,7 +143,7 @@
                 total,
                 bytes,
             } => return self.page(version, index, total, bytes),
-            Message::Own { .. } => {}
+            Message::Own { .. } | Message::Unowned { .. } => {}
         }
         Effect::default()
     }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -47,6 +47,10 @@
 /// Time between two searches for the owner of one flow.
 const SEARCH_INTERVAL: Millis = Millis(100);
 
+/// Time after its start for which an agent may not know all others, and so
+/// declares no flow lost.
+const SETTLED: Millis = Millis(1_000);
+
 /// Owners and searches that one agent remembers.
 const MAX_ENTRIES: usize = 65_536;
 
@@ -86,10 +90,12 @@
     since: Millis,
 }
 
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 struct Search {
     flow: Flow,
     last: Millis,
+    ack: u32,
+    unheard: Vec<NodeId>,
 }
 
 #[derive(Clone, Debug)]
@@ -133,6 +139,8 @@
     Resend(Header, Vec<u8>),
     /// Send it to all other agents of the service.
     Search(Header),
+    /// Tell the agent that searches for its owner that it is not this one.
+    Disown(Hop, Flow),
     /// Send it to its caller.
     Answer,
     /// Tell the caller that a flow is gone, with a sequence number.
@@ -259,14 +267,9 @@
     }
 
     /// Decides on a packet that the upstream sent or returned.
-    pub fn outbound(
-        &mut self,
-        around: &mut Around<'_>,
-        segment: &Segment,
-        bytes: &[u8],
-    ) -> Action {
+    pub fn outbound(&mut self, around: &mut Around<'_>, segment: &Segment) -> Action {
         if segment.bounced {
-            return self.bounced(around, segment, bytes);
+            return self.bounced(around, segment);
         }
         self.suspect = None;
         let flow = segment.outbound();
@@ -295,6 +298,9 @@
                 owner,
                 since: now,
             };
+            if let Ok(at) = self.searches.binary_search_by_key(flow, |s| s.flow) {
+                self.searches.remove(at);
+            }
             match self.redirects.binary_search_by_key(flow, |r| r.flow) {
                 Ok(at) => self.redirects[at] = entry,
                 Err(at) if self.redirects.len() < MAX_ENTRIES => self.redirects.insert(at, entry),
@@ -303,6 +309,15 @@
         }
     }
 
+    /// Takes another agent's statement that it does not own flows that were searched for.
+    pub fn disowned(&mut self, node: NodeId, flows: &[Flow]) {
+        for flow in flows {
+            if let Ok(at) = self.searches.binary_search_by_key(flow, |s| s.flow) {
+                self.searches[at].unheard.retain(|other| *other != node);
+            }
+        }
+    }
+
     /// Statements to send: each agent that is to know of flows, and a message to it.
     pub fn statements(&mut self) -> Vec<(Hop, Message)> {
         let mut notices = mem::take(&mut self.notices);
@@ -324,6 +339,7 @@
         let now = around.now;
         self.lapse(now);
         self.place(around);
+        self.settle(around, out);
         let late: Vec<_> = self
             .unanswered
             .extract_if(.., |entry| now.since(entry.since) >= ANSWER_LIMIT)
@@ -518,7 +534,9 @@
             return Action::Deliver(token);
         }
         if header.mode == Mode::Search {
-            return Action::Drop(Reason::NotOwned);
+            return header.asker.map_or(Action::Drop(Reason::NotOwned), |asker| {
+                Action::Disown(asker, flow)
+            });
         }
         if segment.reset {
             return Action::Drop(Reason::Ended);
@@ -527,27 +545,52 @@
         if header.stops.len() > 1 {
             return next(header);
         }
-        self.search(header, flow, around.now)
+        self.search(around, header, segment)
     }
 
-    fn search(&mut self, header: Header, flow: Flow, now: Millis) -> Action {
-        match self.searches.binary_search_by_key(&flow, |s| s.flow) {
+    /// Searches for the owner among all agents; this agent hears who it is, or is not.
+    fn search(&mut self, around: &Around<'_>, header: Header, segment: &Segment) -> Action {
+        let now = around.now;
+        let agents = around.roster.agents(self.me.service);
+        let search = Search {
+            flow: segment.inbound(),
+            last: now,
+            ack: segment.ack,
+            unheard: agents
+                .map(|entry| entry.node)
+                .filter(|node| *node != self.me.hop.node)
+                .collect(),
+        };
+        match self.searches.binary_search_by_key(&search.flow, |s| s.flow) {
             Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => {
                 return Action::Drop(Reason::Searched);
             }
-            Ok(at) => self.searches[at].last = now,
-            Err(at) if self.searches.len() < MAX_ENTRIES => {
-                self.searches.insert(at, Search { flow, last: now });
-            }
+            Ok(at) => self.searches[at] = search,
+            Err(at) if self.searches.len() < MAX_ENTRIES => self.searches.insert(at, search),
             Err(_) => return Action::Drop(Reason::Searched),
         }
         Action::Search(Header {
             mode: Mode::Search,
+            asker: Some(self.me.hop),
             ..header
         })
     }
 
-    fn bounced(&mut self, around: &mut Around<'_>, segment: &Segment, bytes: &[u8]) -> Action {
+    /// Gives up flows that no agent of the service owns; each caller is told.
+    fn settle(&mut self, around: &Around<'_>, out: &mut Vec<Action>) {
+        let balancers = || {
+            let mut rows = around.roster.rows().iter();
+            rows.any(|row| row.direct && row.entry.upstream.is_none())
+        };
+        if around.now < SETTLED || !around.complete || !balancers() {
+            return;
+        }
+        let nobody = |search: &mut Search| search.unheard.is_empty();
+        let lost = self.searches.extract_if(.., nobody);
+        out.extend(lost.map(|search| Action::Reset(search.flow, search.ack)));
+    }
+
+    fn bounced(&mut self, around: &mut Around<'_>, segment: &Segment) -> Action {
         let flow = segment.inbound();
         let pending = self.recall(segment.token, &flow);
         if segment.opening {
@@ -587,7 +630,6 @@
             seed: around.seed,
             now: around.now,
         };
-        let _ = bytes;
         self.unknown(&mut known, header, segment)
     }
 
