--- a/src/passage.rs
+++ b/src/passage.rs
@@ -39,8 +39,8 @@
     pub former: Vec<ServiceId>,
     /// How urgent the work is.
     pub class: record::Class,
-    /// Time after which callers give a request up.
-    pub limit: Millis,
+    /// Time within which a request should be answered.
+    pub target: Millis,
 }
 
 /// All routes in one version, sorted by address.
@@ -190,6 +190,7 @@
         mode: carry::Mode::Chain,
         origin,
         stops,
+        target: route.target,
         best: None,
         asker: None,
     })
