--- a/src/beside.rs
+++ b/src/beside.rs
@@ -251,6 +251,7 @@
     }
 
     fn probed(&mut self, listens: bool) {
+        debug!(listens = listens; "upstream was probed");
         if listens {
             self.flows.absolve();
             return;
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -137,11 +137,9 @@
 
 impl Loop {
     fn is_ready(&self) -> bool {
-        let agents = || {
-            let mut rows = self.node.roster().rows().iter();
-            rows.any(|row| row.entry.upstream.is_some())
-        };
-        self.node.config().is_some() && agents()
+        let roster = self.node.roster();
+        let agents = roster.rows().iter().any(|row| row.entry.upstream.is_some());
+        self.node.config().is_some() && agents && !roster.is_isolated(self.clock.now())
     }
 
     fn event(&mut self, event: Event) {
--- a/src/node.rs
+++ b/src/node.rs
@@ -204,8 +204,9 @@
             .roster
             .rows()
             .iter()
-            .filter(|row| !row.silent && row.entry.node != entry.node)
+            .filter(|row| row.direct && !row.silent && !row.entry.leaving)
             .map(|row| row.entry.clone())
+            .filter(|other| other.node != entry.node)
             .filter(|other| concern(entry, other))
             .collect();
         for chunk in others.chunks(MAX_ENTRIES) {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -521,7 +521,7 @@
         if header.mode != Mode::Search
             && let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow) {
             let owner = self.redirects[at].owner;
-            if around.roster.is_gone(&owner.hop) {
+            if around.roster.is_gone(owner.hop.node, around.now) {
                 self.redirects.remove(at);
                 return Action::Reset(flow, segment.ack);
             }
@@ -583,10 +583,14 @@
             let mut rows = around.roster.rows().iter();
             rows.any(|row| row.direct && row.entry.upstream.is_none())
         };
-        if around.now < SETTLED || !around.complete || !balancers() {
+        let isolated = around.roster.is_isolated(around.now);
+        if around.now < SETTLED || !around.complete || !balancers() || isolated {
             return;
         }
-        let nobody = |search: &mut Search| search.unheard.is_empty();
+        let nobody = |search: &mut Search| {
+            let mut unheard = search.unheard.iter();
+            unheard.all(|node| around.roster.is_gone(*node, around.now))
+        };
         let lost = self.searches.extract_if(.., nobody);
         out.extend(lost.map(|search| Action::Reset(search.flow, search.ack)));
     }
@@ -659,7 +663,7 @@
             .binary_search_by_key(flow, |r| r.flow)
             .ok()?;
         let owner = self.redirects[at].owner;
-        (!around.roster.is_gone(&owner.hop)).then_some(owner)
+        (!around.roster.is_gone(owner.hop.node, around.now)).then_some(owner)
     }
 
     fn remember(&mut self, flow: Flow, header: Header) -> u32 {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -20,6 +20,12 @@
 /// Half periods after which a node counts as silent.
 const SILENT_HALVES: u64 = 7;
 
+/// Half periods without a word of any node after which this node is cut off.
+const ISOLATED_HALVES: u64 = 3;
+
+/// Time within which an agent that was told to stop is back, if its upstream lives on.
+const RETURN: Millis = Millis(8_000);
+
 /// Time after which a silent node is forgotten.
 pub const FORGET: Millis = Millis(60_000);
 
@@ -209,6 +215,15 @@
         self.revision += u64::from(changed);
     }
 
+    /// Whether this node hears nobody although it knows others that state themselves often.
+    #[must_use]
+    pub fn is_isolated(&self, now: Millis) -> bool {
+        let limit = self.period().0.max(PERIOD.0) * ISOLATED_HALVES / 2;
+        let often = |row: &&Row| row.direct && !row.entry.leaving;
+        let mut rows = self.rows.iter().filter(often).peekable();
+        rows.peek().is_some() && rows.all(|row| now.since(row.heard).0 > limit)
+    }
+
     /// A node by its identity.
     #[must_use]
     pub fn find(&self, node: ident::NodeId) -> Option<&Row> {
@@ -218,28 +233,51 @@
             .map(|at| &self.rows[at])
     }
 
-    /// Whether the run of an agent that `hop` names has ended or been silent for long.
+    /// Whether an agent's upstream is gone as far as can be told: it left, or the
+    /// agent fell silent while most others of the service did not.
+    ///
+    /// An agent that said that it stops while its upstream lives is given time to
+    /// come back.
     #[must_use]
-    pub fn is_gone(&self, hop: &Hop) -> bool {
-        if hop.node == self.me.node {
-            return hop.incarnation < self.me.incarnation;
+    pub fn is_gone(&self, node: ident::NodeId, now: Millis) -> bool {
+        let Some(row) = self.find(node) else {
+            return false;
+        };
+        let Some(upstream) = row.entry.upstream else {
+            return true;
+        };
+        let left = upstream.state.is_none();
+        let silent = row.silent && !self.is_mostly_silent(upstream.service);
+        let missed = now.since(row.heard).0 > row.period.0 * ISOLATED_HALVES / 2;
+        match (row.entry.leaving, left) {
+            (true, true) => true,
+            (false, true) => silent || missed,
+            (true, false) => silent && now.since(row.heard) > RETURN,
+            (false, false) => silent,
         }
-        self.find(hop.node).is_none_or(|row| {
-            row.silent || row.entry.leaving || row.entry.incarnation > hop.incarnation
-        })
     }
 
-    /// The agents of a service that have not said that they leave, with this node.
+    /// Whether more than half of a service's agents are silent, which says more
+    /// about this node than about them.
+    fn is_mostly_silent(&self, service: ident::ServiceId) -> bool {
+        let rows = || {
+            let rows = self.rows.iter();
+            rows.filter(|row| row.entry.service() == Some(service) && !row.entry.leaving)
+        };
+        let silent = rows().filter(|row| row.silent).count();
+        silent * 2 > rows().count()
+    }
+
+    /// The agents of a service, with this node.
     pub fn agents(&self, service: ident::ServiceId) -> impl Iterator<Item = &Entry> {
         std::iter::once(&self.me)
             .chain(self.rows.iter().map(|row| &row.entry))
-            .filter(move |entry| entry.service() == Some(service) && !entry.leaving)
+            .filter(move |entry| entry.service() == Some(service))
     }
 
     /// The agents of a service that take new flows, with this node.
     ///
-    /// Silent ones are left out unless more than half of the service fell silent,
-    /// which says more about this node than about them.
+    /// Silent ones are left out unless more than half of the service fell silent.
     #[must_use]
     pub fn ready(&self, service: ident::ServiceId) -> Vec<&Entry> {
         let ready = |entry: &Entry| {
@@ -248,12 +286,11 @@
                     upstream.service == service && upstream.state == Some(member::State::Ready)
                 })
         };
-        let all: Vec<_> = self.rows.iter().filter(|row| ready(&row.entry)).collect();
-        let silent = all.iter().filter(|row| row.silent).count();
-        let keep = silent * 2 > all.len();
-        let mut entries: Vec<_> = all
-            .into_iter()
-            .filter(|row| keep || !row.silent)
+        let keep = self.is_mostly_silent(service);
+        let mut entries: Vec<_> = self
+            .rows
+            .iter()
+            .filter(|row| ready(&row.entry) && (keep || !row.silent))
             .map(|row| &row.entry)
             .collect();
         if ready(&self.me) {
