--- a/src/load.rs
+++ b/src/load.rs
@@ -11,7 +11,7 @@
 const MIN_SAMPLES: u32 = 20;
 
 /// Time of service that is assumed until there are samples, in milliseconds.
-const ASSUMED: f64 = 40.0;
+const ASSUMED: f64 = 80.0;
 
 /// Slots a second that give step 0, so that slow and fast upstreams lie inside the range.
 const UNIT: f64 = 1.0;
