Probe a silent upstream until it answers, and pass its opening packets on

Change: suspicion lasts until the upstream is heard or a probe connects; an unanswered flow is forgotten; opening packets no longer follow statements.

--- a/src/beside.rs
+++ b/src/beside.rs
@@ -29,6 +29,12 @@
 /// Reports that may be missed before the upstream gets no new flows.
 const MISSED: u64 = 3;
 
+/// Time without an answer after which an upstream whose report is overdue is given up.
+const GIVE_UP: Millis = Millis(2_000);
+
+/// Periods after which a report is overdue.
+const OVERDUE: u64 = 2;
+
 /// Time after which no flow is left that the agent has not seen.
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
@@ -328,6 +334,21 @@
         for action in actions {
             self.act(action, &mut []);
         }
+        self.give_up(now);
+    }
+
+    /// Gives up an upstream that neither answers nor reports.
+    fn give_up(&mut self, now: Millis) {
+        let unheard = self.flows.unheard_for(now);
+        let overdue = now.since(self.status.heard()).0 > self.settings.period.0 * OVERDUE;
+        if unheard.is_some_and(|time| time >= GIVE_UP)
+            && overdue
+            && self.status.report().is_some()
+        {
+            warn!(flows = self.flows.owned().len(); "upstream neither answers nor reports");
+            self.status.lose();
+            self.lose();
+        }
     }
 
     fn inbound(&mut self) {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -26,8 +26,11 @@
 /// Time within which a living upstream answers an opening packet.
 pub const ANSWER_LIMIT: Millis = Millis(100);
 
-/// Time for which no new flows are given to an upstream that did not answer.
-const SUSPECT: Millis = Millis(500);
+/// Time between two probes of an upstream that does not answer.
+const PROBE_PERIOD: Millis = Millis(500);
+
+/// Shortest time without a word on any busy flow after which the upstream is probed.
+const HANGING: Millis = Millis(500);
 
 /// Time within which a new flow's first request is expected.
 const FIRST_REQUEST: Millis = Millis(100);
@@ -83,6 +86,13 @@
     homes: [Option<(NodeId, Incarnation)>; HOMES],
 }
 
+/// An upstream that does not answer.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Suspicion {
+    since: Millis,
+    probed: Millis,
+}
+
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Redirect {
     flow: Flow,
@@ -179,7 +189,7 @@
     ring: Vec<Option<Pending>>,
     next: u32,
     unanswered: Vec<Unanswered>,
-    suspect: Option<Millis>,
+    suspicion: Option<Suspicion>,
     notices: Vec<(Hop, Flow)>,
     placed: Option<u64>,
 }
@@ -197,7 +207,7 @@
             ring: vec![None; RING],
             next: 1,
             unanswered: Vec::new(),
-            suspect: None,
+            suspicion: None,
             notices: Vec::new(),
             placed: None,
         }
@@ -231,15 +241,15 @@
         self.me = me;
     }
 
-    /// Whether the upstream did not answer a moment ago.
+    /// Time for which the upstream has not answered.
     #[must_use]
-    pub fn is_suspect(&self, now: Millis) -> bool {
-        self.suspect.is_some_and(|until| now < until)
+    pub fn unheard_for(&self, now: Millis) -> Option<Millis> {
+        self.suspicion.map(|suspicion| now.since(suspicion.since))
     }
 
     /// Takes the upstream as living again.
     pub const fn absolve(&mut self) {
-        self.suspect = None;
+        self.suspicion = None;
     }
 
     /// Decides on a caller's packet that a balancer or another agent sent.
@@ -271,7 +281,7 @@
         if segment.bounced {
             return self.bounced(around, segment);
         }
-        self.suspect = None;
+        self.suspicion = None;
         let flow = segment.outbound();
         match self.position(&flow) {
             Ok(at) => self.note_answer(at, segment, around.now),
@@ -345,10 +355,15 @@
             .extract_if(.., |entry| now.since(entry.since) >= ANSWER_LIMIT)
             .collect();
         for entry in late {
-            self.unheard(entry, around, out);
+            self.unheard(entry, out, now);
+        }
+        if self.is_hanging(now) {
+            self.suspect(now);
         }
-        if self.is_hanging(now) && !self.is_suspect(now) {
-            self.suspect = Some(now + SUSPECT);
+        if let Some(suspicion) = &mut self.suspicion
+            && now.since(suspicion.probed) >= PROBE_PERIOD
+        {
+            suspicion.probed = now;
             out.push(Action::Probe);
         }
     }
@@ -359,7 +374,7 @@
         out.extend(open.map(|owned| Action::Reset(owned.flow, owned.ack)));
         self.owned.clear();
         self.unanswered.clear();
-        self.suspect = None;
+        self.suspicion = None;
         self.load = load::Load::new(self.load.slots());
     }
 
@@ -456,12 +471,7 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
-        if let Some(owner) = self.redirect(&flow, around)
-            && header.mode != Mode::Owner
-        {
-            return Action::Send(directed(header, owner, Mode::Owner));
-        }
-        let takes = around.accepts && !self.is_suspect(around.now);
+        let takes = around.accepts && self.suspicion.is_none();
         let expected = self.expected(around.now);
         if takes && self.load.has_room(expected) {
             return self.accept(around, header, segment, bytes);
@@ -657,15 +667,6 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    fn redirect(&self, flow: &Flow, around: &Around<'_>) -> Option<Stop> {
-        let at = self
-            .redirects
-            .binary_search_by_key(flow, |r| r.flow)
-            .ok()?;
-        let owner = self.redirects[at].owner;
-        (!around.roster.is_gone(owner.hop.node, around.now)).then_some(owner)
-    }
-
     fn remember(&mut self, flow: Flow, header: Header) -> u32 {
         let token = self.next;
         self.next = self.next.checked_add(1).unwrap_or(1);
@@ -690,11 +691,9 @@
     }
 
     /// Passes an opening packet on that the upstream left without an answer.
-    fn unheard(&mut self, entry: Unanswered, around: &Around<'_>, out: &mut Vec<Action>) {
-        if !self.is_suspect(around.now) {
-            self.suspect = Some(around.now + SUSPECT);
-            out.push(Action::Probe);
-        }
+    fn unheard(&mut self, entry: Unanswered, out: &mut Vec<Action>, now: Millis) {
+        self.suspect(now);
+        self.forget(&entry.flow);
         let Some(header) = self.recall(entry.token, &entry.flow) else {
             return;
         };
@@ -703,11 +702,19 @@
         }
     }
 
+    /// Notes that the upstream does not answer; the next round probes it.
+    fn suspect(&mut self, now: Millis) {
+        self.suspicion.get_or_insert(Suspicion {
+            since: now,
+            probed: Millis(0),
+        });
+    }
+
     /// Whether requests are in hand and nothing was heard of any flow for long.
     fn is_hanging(&self, now: Millis) -> bool {
         let busy = self.owned.iter().filter(|owned| owned.request.is_some());
         let oldest = busy.clone().map(|owned| owned.last).max();
-        let limit = Millis(self.load.mean().0.saturating_mul(10)).max(SUSPECT);
+        let limit = Millis(self.load.mean().0.saturating_mul(10)).max(HANGING);
         oldest.is_some_and(|last| now.since(last) > limit) && busy.count() > 0
     }
 
