--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,197 @@
+//! How nodes of pass-through services hear of each other and of the configuration.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cassiacross::{
+    carry::Message,
+    clock::Millis,
+    ident::{DomainId, Incarnation, NodeId, ServiceId},
+    member, node, passage, record, roster,
+};
+
+const SERVICE: ServiceId = ServiceId(7);
+
+fn addr(node: u16) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, node)
+}
+
+fn entry(node: u16, service: Option<ServiceId>) -> roster::Entry {
+    roster::Entry {
+        node: NodeId(u64::from(node)),
+        incarnation: Incarnation(1),
+        change: 0,
+        domain: DomainId(1),
+        control: addr(node),
+        leaving: false,
+        upstream: service.map(|service| roster::Upstream {
+            service,
+            packets: addr(node),
+            state: Some(member::State::Ready),
+            step: 40,
+        }),
+    }
+}
+
+fn config(version: u64) -> passage::Config {
+    let route = |last: u8| passage::Route {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, last), 443),
+        targets: vec![passage::Target {
+            service: SERVICE,
+            weight: 1,
+        }],
+        former: Vec::new(),
+        class: record::Class::Normal,
+        target: Millis(200),
+    };
+    passage::Config {
+        version,
+        routes: (0..200).map(route).collect(),
+        idle: Millis(15_000),
+    }
+}
+
+/// Nodes that hear each other at once, by address; a cut one hears nothing.
+struct Net {
+    nodes: Vec<node::Node>,
+    cut: Vec<SocketAddrV4>,
+}
+
+impl Net {
+    /// Balancers 1 to 3 and agents 11 and 12; all but the first know only its address.
+    fn new() -> Self {
+        let entries = [
+            entry(1, None),
+            entry(2, None),
+            entry(3, None),
+            entry(11, Some(SERVICE)),
+            entry(12, Some(SERVICE)),
+        ];
+        let nodes = entries
+            .into_iter()
+            .zip(1..)
+            .map(|(entry, seed)| node::Node::new(entry, vec![addr(1)], seed, Millis(0)))
+            .collect();
+        Self {
+            nodes,
+            cut: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, from: Millis, to: Millis) {
+        let mut now = from;
+        while now < to {
+            now = now + Millis(100);
+            for node in &mut self.nodes {
+                node.tick(now);
+            }
+            while self.deliver(now) {}
+        }
+    }
+
+    fn deliver(&mut self, now: Millis) -> bool {
+        let mut mail: Vec<(SocketAddrV4, SocketAddrV4, Message)> = Vec::new();
+        for node in &mut self.nodes {
+            let from = node.roster().me().control;
+            mail.extend(node.outgoing().map(|(to, message)| (from, to, message)));
+        }
+        let any = !mail.is_empty();
+        mail.retain(|(from, to, _)| !self.cut.contains(from) && !self.cut.contains(to));
+        for (from, to, message) in mail {
+            let mut nodes = self.nodes.iter_mut();
+            if let Some(node) = nodes.find(|node| node.roster().me().control == to) {
+                node.message(from, message, now);
+            }
+        }
+        any
+    }
+
+    fn known(&self, at: usize) -> Vec<u64> {
+        let rows = self.nodes[at].roster().rows();
+        rows.iter().map(|row| row.entry.node.0).collect()
+    }
+}
+
+#[test]
+fn all_know_each_other_by_one_seed() {
+    let mut net = Net::new();
+    net.run(Millis(0), Millis(1_000));
+    assert_eq!(net.known(1), [1, 3, 11, 12]);
+    assert_eq!(net.known(3), [1, 2, 3, 12]);
+}
+
+#[test]
+fn balancer_that_the_platform_names_is_enough() {
+    let mut net = Net::new();
+    net.cut.push(addr(1));
+    net.run(Millis(0), Millis(1_000));
+    assert!(net.known(3).is_empty());
+    for node in &mut net.nodes {
+        node.introduce(vec![addr(2)]);
+    }
+    net.run(Millis(1_000), Millis(2_000));
+    assert_eq!(net.known(3), [2, 3, 12]);
+}
+
+#[test]
+fn configuration_reaches_nodes_that_the_platform_turns_away() {
+    let mut net = Net::new();
+    net.run(Millis(0), Millis(500));
+    assert!(net.nodes[0].configure(config(5)));
+    net.run(Millis(500), Millis(2_500));
+    for node in &net.nodes {
+        assert_eq!(node.version(), 5);
+        assert_eq!(node.config().map(|config| config.routes.len()), Some(200));
+    }
+}
+
+#[test]
+fn older_configuration_changes_nothing() {
+    let mut net = Net::new();
+    assert!(net.nodes[0].configure(config(5)));
+    assert!(!net.nodes[0].configure(config(4)));
+    assert!(!net.nodes[0].configure(config(5)));
+    assert_eq!(net.nodes[0].version(), 5);
+}
+
+#[test]
+fn node_that_was_cut_off_hears_of_a_newer_configuration() {
+    let mut net = Net::new();
+    net.run(Millis(0), Millis(500));
+    net.cut.push(addr(3));
+    net.nodes[0].configure(config(5));
+    net.run(Millis(500), Millis(3_000));
+    assert_eq!(net.nodes[2].version(), 0);
+    net.cut.clear();
+    net.run(Millis(3_000), Millis(6_000));
+    assert_eq!(net.nodes[2].version(), 5);
+}
+
+#[test]
+fn change_of_state_is_heard_at_once() {
+    let mut net = Net::new();
+    net.run(Millis(0), Millis(1_000));
+    net.nodes[3].update(|me| {
+        if let Some(upstream) = &mut me.upstream {
+            upstream.state = Some(member::State::Draining);
+        }
+    });
+    while net.deliver(Millis(1_000)) {}
+    let ready = net.nodes[1].roster().ready(SERVICE);
+    let ready: Vec<_> = ready.iter().map(|entry| entry.node.0).collect();
+    assert_eq!(ready, [12]);
+}
+
+#[test]
+fn page_of_nonsense_changes_nothing() {
+    let mut net = Net::new();
+    for (index, total) in [(0, 1), (5, 2), (0, u16::MAX)] {
+        let page = Message::Page {
+            version: 9,
+            index,
+            total,
+            bytes: vec![0xc1; 20],
+        };
+        net.nodes[0].message(addr(2), page, Millis(0));
+    }
+    assert_eq!(net.nodes[0].version(), 0);
+}
--- /dev/null
+++ b/tests/passage.rs
@@ -0,0 +1,197 @@
+//! A balancer's way of a pass-through packet.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use cassiacross::{
+    carry,
+    clock::Millis,
+    ident::{DomainId, Incarnation, NodeId, ServiceId},
+    member,
+    passage::{self, Config, Refusal, Route, Target},
+    record, roster,
+    segment::Segment,
+};
+use yare::parameterized;
+
+const LEDGER: ServiceId = ServiceId(7);
+const INTAKE: ServiceId = ServiceId(8);
+const SEED: u64 = 3;
+
+fn address(last: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 9, 0, last), 443)
+}
+
+fn entry(node: u16, service: Option<ServiceId>) -> roster::Entry {
+    let addr = SocketAddrV4::new(Ipv4Addr::LOCALHOST, node);
+    roster::Entry {
+        node: NodeId(u64::from(node)),
+        incarnation: Incarnation(1),
+        change: 0,
+        domain: DomainId(1),
+        control: addr,
+        leaving: false,
+        upstream: service.map(|service| roster::Upstream {
+            service,
+            packets: addr,
+            state: Some(member::State::Ready),
+            step: 40,
+        }),
+    }
+}
+
+fn roster() -> roster::Roster {
+    let mut roster = roster::Roster::new(entry(100, None), Millis(0));
+    for node in 1..=4 {
+        let entry = entry(node, Some(LEDGER));
+        roster.merge(&entry, roster::PERIOD, true, Millis(0));
+    }
+    for node in 11..=12 {
+        let entry = entry(node, Some(INTAKE));
+        roster.merge(&entry, roster::PERIOD, true, Millis(0));
+    }
+    roster
+}
+
+fn target(service: ServiceId, weight: u32) -> Target {
+    Target { service, weight }
+}
+
+fn config(version: u64, targets: Vec<Target>) -> Config {
+    Config {
+        version,
+        routes: vec![Route {
+            address: address(1),
+            targets,
+            former: Vec::new(),
+            class: record::Class::Normal,
+            target: Millis(200),
+        }],
+        idle: Millis(15_000),
+    }
+}
+
+fn segment(caller: u16, opening: bool) -> Segment {
+    Segment {
+        from: SocketAddrV4::new(Ipv4Addr::new(10, 77, 0, 1), caller),
+        to: address(1),
+        opening,
+        accepting: false,
+        acks: !opening,
+        fin: false,
+        reset: false,
+        bounced: false,
+        token: 0,
+        seq: 1,
+        ack: 0,
+        len: 0,
+    }
+}
+
+fn header(config: &Config, segment: &Segment) -> Result<carry::Header, Refusal> {
+    let roster = roster();
+    let mut tables = passage::Tables::default();
+    tables.refresh(&roster);
+    passage::header(Some(config), &mut tables, &roster, SEED, segment)
+}
+
+fn nodes(header: &carry::Header) -> Vec<u64> {
+    header.stops.iter().map(|stop| stop.hop.node.0).collect()
+}
+
+#[test]
+fn opening_packet_names_all_candidates() {
+    let config = config(1, vec![target(LEDGER, 1)]);
+    let header = header(&config, &segment(4_000, true)).unwrap();
+    let mut nodes = nodes(&header);
+    nodes.sort_unstable();
+    assert_eq!(nodes, [1, 2, 3, 4]);
+    assert_eq!(header.target, Millis(200));
+}
+
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+)]
+fn copy_of_an_opening_packet_starts_later_in_the_chain(copy: u32) {
+    let config = config(1, vec![target(LEDGER, 1)]);
+    let first = header(&config, &segment(4_000, true)).unwrap();
+    let again = Segment {
+        ack: copy,
+        ..segment(4_000, true)
+    };
+    let again = header(&config, &again).unwrap();
+    let at = usize::try_from(copy).unwrap();
+    assert_eq!(nodes(&again)[0], nodes(&first)[at]);
+}
+
+#[test]
+fn other_packets_go_to_the_home_of_their_flow() {
+    let config = config(1, vec![target(LEDGER, 1)]);
+    let first = header(&config, &segment(4_000, true)).unwrap();
+    let later = header(&config, &segment(4_000, false)).unwrap();
+    assert_eq!(nodes(&later)[0], nodes(&first)[0]);
+    assert!(nodes(&later).len() < nodes(&first).len());
+}
+
+#[test]
+fn shares_of_new_flows_follow_the_weights() {
+    let config = config(1, vec![target(LEDGER, 90), target(INTAKE, 10)]);
+    let intake = (1_000..11_000)
+        .filter(|caller| {
+            let header = header_of(&config, *caller);
+            header.stops[0].service == INTAKE
+        })
+        .count();
+    assert!((800..1_200).contains(&intake), "{intake}");
+}
+
+fn header_of(config: &Config, caller: u16) -> carry::Header {
+    header(config, &segment(caller, true)).unwrap()
+}
+
+#[test]
+fn open_flows_are_looked_for_in_former_services_too() {
+    let before = config(1, vec![target(LEDGER, 1)]);
+    let after = config(2, vec![target(INTAKE, 1)]).succeed(Some(&before));
+    let opening = header(&after, &segment(4_000, true)).unwrap();
+    assert!(opening.stops.iter().all(|stop| stop.service == INTAKE));
+    let later = header(&after, &segment(4_000, false)).unwrap();
+    assert!(later.stops.iter().any(|stop| stop.service == LEDGER));
+}
+
+#[test]
+fn former_services_are_forgotten_where_they_serve_again() {
+    let first = config(1, vec![target(LEDGER, 1)]);
+    let second = config(2, vec![target(INTAKE, 1)]).succeed(Some(&first));
+    let third = config(3, vec![target(LEDGER, 1)]).succeed(Some(&second));
+    assert_eq!(third.routes[0].former, [INTAKE]);
+}
+
+#[test]
+fn packet_without_a_route_is_refused() {
+    let config = config(1, vec![target(LEDGER, 1)]);
+    let elsewhere = Segment {
+        to: address(9),
+        ..segment(4_000, true)
+    };
+    assert_eq!(header(&config, &elsewhere), Err(Refusal::Route));
+}
+
+#[parameterized(
+    unknown_service = { vec![target(ServiceId(99), 1)] },
+    no_weight = { vec![target(LEDGER, 0)] },
+    no_target = { vec![] },
+)]
+fn route_without_agents_is_refused(targets: Vec<Target>) {
+    let config = config(1, targets);
+    let header = header(&config, &segment(4_000, true));
+    assert_eq!(header, Err(Refusal::Agents));
+}
+
+#[test]
+fn nothing_is_forwarded_without_a_configuration() {
+    let roster = roster();
+    let mut tables = passage::Tables::default();
+    let header = passage::header(None, &mut tables, &roster, SEED, &segment(4_000, true));
+    assert_eq!(header, Err(Refusal::Unconfigured));
+}
--- /dev/null
+++ b/tests/status.rs
@@ -0,0 +1,76 @@
+//! The order of an upstream's reports.
+
+use cassiacross::{
+    clock::Millis,
+    ident::ServiceId,
+    member,
+    status::{Effect, Report, Status},
+};
+use yare::parameterized;
+
+const SERVICE: ServiceId = ServiceId(7);
+
+fn report(born: u64, seq: u64) -> Report {
+    Report {
+        id: "u-1".to_owned(),
+        born: Millis(born),
+        seq,
+        service: SERVICE,
+        slots: 4,
+        state: member::State::Ready,
+        cold: Millis(0),
+    }
+}
+
+#[parameterized(
+    next = { 10, 6, Effect::Fresh },
+    repeated = { 10, 5, Effect::Late },
+    earlier = { 10, 4, Effect::Late },
+    earlier_run = { 9, 99, Effect::Late },
+    later_run = { 11, 1, Effect::Run },
+)]
+fn report_counts_by_run_and_number(born: u64, seq: u64, effect: Effect) {
+    let mut status = Status::new(SERVICE);
+    assert_eq!(status.take(report(10, 5), Millis(0)), Effect::Run);
+    assert_eq!(status.take(report(born, seq), Millis(1)), effect);
+}
+
+#[test]
+fn late_report_does_not_undo_a_drain() {
+    let mut status = Status::new(SERVICE);
+    let draining = Report {
+        state: member::State::Draining,
+        ..report(10, 6)
+    };
+    status.take(draining, Millis(0));
+    status.take(report(10, 5), Millis(1));
+    let state = status.report().map(|report| report.state);
+    assert_eq!(state, Some(member::State::Draining));
+}
+
+#[test]
+fn report_about_another_service_names_no_upstream() {
+    let mut status = Status::new(ServiceId(8));
+    assert_eq!(status.take(report(10, 5), Millis(0)), Effect::Foreign);
+    assert_eq!(status.report(), None);
+}
+
+#[test]
+fn late_report_of_an_upstream_that_left_changes_nothing() {
+    let mut status = Status::new(SERVICE);
+    status.take(report(10, 5), Millis(0));
+    assert!(status.leave("u-1", None));
+    assert_eq!(status.take(report(10, 6), Millis(1)), Effect::Late);
+    assert_eq!(status.take(report(12, 1), Millis(2)), Effect::Run);
+}
+
+#[parameterized(
+    another = { "u-2", None },
+    earlier_run = { "u-1", Some(Millis(9)) },
+)]
+fn goodbye_of_another_run_changes_nothing(id: &str, born: Option<Millis>) {
+    let mut status = Status::new(SERVICE);
+    status.take(report(10, 5), Millis(0));
+    assert!(!status.leave(id, born));
+    assert!(status.report().is_some());
+}
