--- a/src/beside.rs
+++ b/src/beside.rs
@@ -8,6 +8,7 @@
 
 use anyhow::Context;
 use log::{debug, info, warn};
+use serde::Serialize;
 use tokio::{
     net::{TcpStream, UdpSocket},
     sync::{mpsc, oneshot},
@@ -17,7 +18,9 @@
 use crate::{
     carry, chains,
     clock::{self, Millis},
-    header, ident, member, node, owner, post, roster, segment, status,
+    header, ident, member, node, owner,
+    packet::Flow,
+    post, roster, segment, status, tally,
 };
 
 /// Time between two rounds.
@@ -78,10 +81,30 @@
     Leave(String, Option<Millis>, oneshot::Sender<()>),
     /// Addresses for messages of the balancers that the platform knows.
     Peers(Vec<SocketAddrV4>),
+    /// Somebody asks for the process's state as JSON.
+    Dump(oneshot::Sender<String>),
     /// The process is to stop.
     Stop,
 }
 
+/// The state that a dump shows.
+#[derive(Serialize)]
+struct Dump<'a> {
+    now: Millis,
+    complete: bool,
+    leaving: bool,
+    status: &'a status::Status,
+    busy: u32,
+    slots: u32,
+    mean_ms: Millis,
+    unheard_ms: Option<Millis>,
+    flows: &'a [owner::Owned],
+    redirects: usize,
+    roster: &'a roster::Roster,
+    config: u64,
+    unsent: u64,
+}
+
 struct Loop {
     codec: segment::Codec,
     settings: Settings,
@@ -99,6 +122,7 @@
     started: Millis,
     leaving: bool,
     probes: mpsc::Sender<bool>,
+    tally: tally::Tally,
     clock: clock::Clock,
 }
 
@@ -107,10 +131,11 @@
     settings: Settings,
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
+    tally: tally::Tally,
 ) -> anyhow::Result<()> {
     let (probes, mut probed) = mpsc::channel(4);
     let linger = settings.linger;
-    let mut state = start(settings, codec, probes).await?;
+    let mut state = start(settings, codec, probes, tally).await?;
     let mut ticker = time::interval(TICK);
     ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut stop_at = None;
@@ -151,6 +176,7 @@
     settings: Settings,
     codec: segment::Codec,
     probes: mpsc::Sender<bool>,
+    tally: tally::Tally,
 ) -> anyhow::Result<Loop> {
     let packets = post::bind(settings.packets).await.context("packets")?;
     let outbound = post::bind(settings.outbound).await.context("outbound")?;
@@ -178,6 +204,7 @@
         started: clock::wall(),
         leaving: false,
         probes,
+        tally,
         clock,
         settings,
     })
@@ -227,10 +254,71 @@
                 }
             }
             Event::Peers(addresses) => self.node.introduce(addresses),
+            Event::Dump(to) => {
+                if to.send(self.dump()).is_err() {
+                    debug!("nobody waits for the dump any more");
+                }
+            }
             Event::Stop => {}
         }
     }
 
+    fn dump(&self) -> String {
+        let now = self.clock.now();
+        let load = self.flows.load();
+        let dump = Dump {
+            now,
+            complete: self.complete,
+            leaving: self.leaving,
+            status: &self.status,
+            busy: load.busy(),
+            slots: load.slots(),
+            mean_ms: load.mean(),
+            unheard_ms: self.flows.unheard_for(now),
+            flows: self.flows.owned(),
+            redirects: self.flows.redirects(),
+            roster: self.node.roster(),
+            config: self.node.version(),
+            unsent: self.post.unsent(),
+        };
+        serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
+    }
+
+    /// Counts a decision and logs it, if there is room for the line.
+    fn tell(&mut self, flow: Option<Flow>, action: &owner::Action) {
+        let weight = match action {
+            owner::Action::Deliver(0) | owner::Action::Answer => return,
+            owner::Action::Deliver(_)
+            | owner::Action::Send(_)
+            | owner::Action::Disown(..)
+            | owner::Action::Drop(owner::Reason::NotOwned | owner::Reason::Searched) => {
+                tally::Weight::Ordinary
+            }
+            _ => tally::Weight::Notable,
+        };
+        let now = self.clock.now();
+        let Some(left_out) = self.tally.decide(action.name(), weight, now) else {
+            return;
+        };
+        let flow = match action {
+            owner::Action::Reset(flow, _) => Some(*flow),
+            _ => flow,
+        };
+        let flow = flow.map(|flow| flow.to_string()).unwrap_or_default();
+        let load = self.flows.load();
+        info!(
+            decision = action.name(),
+            flow = flow,
+            busy = load.busy(),
+            slots = load.slots(),
+            mean_ms = load.mean().0,
+            report_age_ms = now.since(self.status.heard()).0,
+            roster = self.node.roster().revision(),
+            left_out = left_out;
+            "flow"
+        );
+    }
+
     fn report(&mut self, report: status::Report) {
         let known = self.status.report().is_some();
         let (state, slots, born) = (report.state, report.slots, report.born);
@@ -276,6 +364,7 @@
         self.complete = true;
         self.restate();
         for action in actions {
+            self.tell(None, &action);
             self.act(action, &mut []);
         }
     }
@@ -332,6 +421,7 @@
         };
         self.flows.tick(&mut around, &mut actions);
         for action in actions {
+            self.tell(None, &action);
             self.act(action, &mut []);
         }
         self.give_up(now);
@@ -377,7 +467,10 @@
             Ok(post::Content::Message(message)) => {
                 self.node.message(from, message, now);
             }
-            Err(error) => debug!(from:% = from, error:% = error; "datagram dropped"),
+            Err(error) => {
+                self.tally.unread();
+                debug!(from:% = from, error:% = error; "datagram dropped");
+            }
         }
     }
 
@@ -385,6 +478,7 @@
         let segment = match (self.codec.parse)(&packet) {
             Ok(segment) => segment,
             Err(error) => {
+                self.tally.unread();
                 debug!(error:% = error; "packet cannot be read");
                 return;
             }
@@ -400,6 +494,7 @@
             now: self.clock.now(),
         };
         let action = self.flows.inbound(&mut around, header, &segment, &packet);
+        self.tell(Some(segment.inbound()), &action);
         self.act(action, &mut packet);
     }
 
@@ -415,6 +510,7 @@
         let segment = match (self.codec.parse)(&packet) {
             Ok(segment) => segment,
             Err(error) => {
+                self.tally.unread();
                 debug!(error:% = error; "upstream's packet cannot be read");
                 return;
             }
@@ -433,6 +529,7 @@
         if action == owner::Action::Answer {
             self.to_caller(*segment.to.ip(), &packet);
         } else {
+            self.tell(Some(segment.inbound()), &action);
             self.act(action, &mut packet);
         }
     }
@@ -464,8 +561,7 @@
                 self.to_caller(*flow.caller.ip(), &reset);
             }
             owner::Action::Probe => self.probe(),
-            owner::Action::Drop(reason) => debug!(reason:? = reason; "packet dropped"),
-            owner::Action::Answer => {}
+            owner::Action::Drop(_) | owner::Action::Answer => {}
         }
     }
 
@@ -515,6 +611,9 @@
     }
 
     fn flush(&mut self) {
+        for took in self.flows.served() {
+            self.tally.served(took);
+        }
         for (hop, message) in self.flows.statements() {
             self.post.message(&self.packets, hop.addr, &message);
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -11,9 +11,14 @@
 
 use anyhow::Context;
 use log::{debug, info};
-use tokio::{net::UdpSocket, sync::mpsc, time};
+use serde::Serialize;
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, oneshot},
+    time,
+};
 
-use crate::{clock, ident, node, passage, post, roster, segment};
+use crate::{clock, ident, node, passage, post, roster, segment, tally};
 
 /// Time between two rounds.
 const TICK: Duration = Duration::from_millis(100);
@@ -46,10 +51,23 @@
     Peers(Vec<SocketAddrV4>),
     /// Whether the platform answers.
     Platform(bool),
+    /// Somebody asks for the process's state as JSON.
+    Dump(oneshot::Sender<String>),
     /// The process is to stop.
     Stop,
 }
 
+/// The state that a dump shows.
+#[derive(Serialize)]
+struct Dump<'a> {
+    now: clock::Millis,
+    ready: bool,
+    platform: bool,
+    roster: &'a roster::Roster,
+    config: Option<&'a passage::Config>,
+    unsent: u64,
+}
+
 struct Loop {
     codec: segment::Codec,
     packets: UdpSocket,
@@ -60,6 +78,7 @@
     node: node::Node,
     tables: passage::Tables,
     platform: bool,
+    tally: tally::Tally,
     clock: clock::Clock,
 }
 
@@ -70,8 +89,9 @@
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
     ready: Arc<AtomicBool>,
+    tally: tally::Tally,
 ) -> anyhow::Result<()> {
-    let mut state = start(&settings, codec).await?;
+    let mut state = start(&settings, codec, tally).await?;
     let mut ticker = time::interval(TICK);
     ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     let mut stop_at = None;
@@ -106,7 +126,11 @@
     }
 }
 
-async fn start(settings: &Settings, codec: segment::Codec) -> anyhow::Result<Loop> {
+async fn start(
+    settings: &Settings,
+    codec: segment::Codec,
+    tally: tally::Tally,
+) -> anyhow::Result<Loop> {
     let packets = post::bind(settings.packets).await.context("packets")?;
     let control = post::bind(settings.control).await.context("control")?;
     let post = post::Post::new(&settings.secret);
@@ -131,6 +155,7 @@
         node: node::Node::new(me, settings.seeds.clone(), seed, clock.now()),
         tables: passage::Tables::default(),
         platform: false,
+        tally,
         clock,
     })
 }
@@ -152,10 +177,27 @@
                 info!(answers = answers; "platform");
                 self.platform = answers;
             }
+            Event::Dump(to) => {
+                if to.send(self.dump()).is_err() {
+                    debug!("nobody waits for the dump any more");
+                }
+            }
             Event::Platform(_) | Event::Stop => {}
         }
     }
 
+    fn dump(&self) -> String {
+        let dump = Dump {
+            now: self.clock.now(),
+            ready: self.is_ready(),
+            platform: self.platform,
+            roster: self.node.roster(),
+            config: self.node.config(),
+            unsent: self.post.unsent(),
+        };
+        serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
+    }
+
     fn forward(&mut self) {
         let Self {
             codec,
@@ -166,25 +208,43 @@
             node,
             tables,
             platform,
+            tally,
+            clock,
             ..
         } = self;
+        let now = clock.now();
         tables.refresh(node.roster());
         post::drain(packets, |bytes, _from| {
             let segment = match (codec.parse)(bytes) {
                 Ok(segment) => segment,
                 Err(error) => {
+                    tally.unread();
                     debug!(error:% = error; "packet cannot be read");
                     return;
                 }
             };
             match passage::header(node.config(), tables, node.roster(), *seed, &segment) {
                 Ok(header) => post.packet(packets, &header, bytes),
-                Err(passage::Refusal::Route) if *platform && !segment.reset => {
+                Err(refusal) => {
                     let flow = segment.inbound();
-                    let reset = (codec.reset)(&flow, segment.ack);
-                    post.plain(packets, SocketAddrV4::new(*flow.caller.ip(), *port), &reset);
+                    let told = refusal == passage::Refusal::Route && *platform && !segment.reset;
+                    if told {
+                        let reset = (codec.reset)(&flow, segment.ack);
+                        post.plain(packets, SocketAddrV4::new(*flow.caller.ip(), *port), &reset);
+                    }
+                    let name = refusal.name();
+                    if let Some(left_out) = tally.decide(name, tally::Weight::Notable, now) {
+                        info!(
+                            decision = name,
+                            flow:% = flow,
+                            told = told,
+                            config = node.version(),
+                            roster = node.roster().revision(),
+                            left_out = left_out;
+                            "flow"
+                        );
+                    }
                 }
-                Err(refusal) => debug!(refusal:? = refusal; "packet dropped"),
             }
         });
     }
@@ -194,6 +254,7 @@
             control,
             post,
             node,
+            tally,
             clock,
             ..
         } = self;
@@ -203,7 +264,10 @@
             Ok(post::Content::Message(message)) => {
                 node.message(from, message, now);
             }
-            Err(error) => debug!(from:% = from, error:% = error; "datagram dropped"),
+            Err(error) => {
+                tally.unread();
+                debug!(from:% = from, error:% = error; "datagram dropped");
+            }
         });
     }
 
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -161,6 +161,43 @@
     Drop(Reason),
 }
 
+impl Reason {
+    /// The reason's name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Target => "drop_target",
+            Self::Full => "drop_full",
+            Self::Searched => "drop_searched",
+            Self::NotOwned => "drop_not_owned",
+            Self::Ended => "drop_ended",
+        }
+    }
+}
+
+impl Action {
+    /// The decision's name in logs and metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Deliver(0) => "deliver",
+            Self::Deliver(_) => "accept",
+            Self::Send(header) => match header.mode {
+                Mode::Owner => "forward_to_owner",
+                Mode::Chain | Mode::Search => "pass_on",
+            },
+            Self::Resend(..) => "pass_on_unanswered",
+            Self::Search(_) => "search",
+            Self::Disown(..) => "disown",
+            Self::Answer => "answer",
+            Self::Reset(_, 0) => "refuse",
+            Self::Reset(..) => "reset",
+            Self::Probe => "probe",
+            Self::Drop(reason) => reason.name(),
+        }
+    }
+}
+
 /// What a decision needs to know besides the flows.
 #[derive(Debug)]
 pub struct Around<'a> {
@@ -192,6 +229,7 @@
     suspicion: Option<Suspicion>,
     notices: Vec<(Hop, Flow)>,
     placed: Option<u64>,
+    served: Vec<Millis>,
 }
 
 impl Flows {
@@ -210,9 +248,15 @@
             suspicion: None,
             notices: Vec::new(),
             placed: None,
+            served: Vec::new(),
         }
     }
 
+    /// Takes the times that the upstream took for requests since the last call.
+    pub fn served(&mut self) -> std::vec::Drain<'_, Millis> {
+        self.served.drain(..)
+    }
+
     /// The upstream's load.
     #[must_use]
     pub const fn load(&self) -> &load::Load {
@@ -441,8 +485,9 @@
         if segment.len > 0
             && let Some(request) = owned.request.take()
         {
-            let took = request.alone.then(|| now.since(request.since));
-            self.load.answer(took);
+            let took = now.since(request.since);
+            self.served.push(took);
+            self.load.answer(request.alone.then_some(took));
         }
         owned.upstream_done |= segment.fin;
         if segment.reset || (owned.caller_done && owned.upstream_done) {
--- a/src/packet.rs
+++ b/src/packet.rs
@@ -1,6 +1,6 @@
 //! Borrowed views of callers' TCP packets.
 
-use std::net::SocketAddrV4;
+use std::{fmt, net::SocketAddrV4};
 
 use serde::{Deserialize, Serialize};
 use smoltcp::wire;
@@ -48,6 +48,12 @@
     }
 }
 
+impl fmt::Display for Flow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}>{}", self.caller, self.service)
+    }
+}
+
 /// What a decision needs to know of a packet from a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct View {
--- a/src/passage.rs
+++ b/src/passage.rs
@@ -130,6 +130,18 @@
     Agents,
 }
 
+impl Refusal {
+    /// The reason's name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unconfigured => "drop_unconfigured",
+            Self::Route => "refuse_route",
+            Self::Agents => "drop_no_agents",
+        }
+    }
+}
+
 /// The chains of all services as one balancer sees them, sorted by service.
 #[derive(Debug, Default)]
 pub struct Tables {
