Never trust the wall clock for what an agent has seen, nor for good for the order of runs

Where the clock had gone back between two starts, an upstream's reports would have been refused as late. Change: an agent knows all flows of runs that it saw begin, or where nothing listened when it started; an earlier-looking run that goes on reporting is taken.

--- a/src/beside.rs
+++ b/src/beside.rs
@@ -41,10 +41,6 @@
 /// Time after which no flow is left that the agent has not seen.
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
-/// How much earlier than the agent an upstream may have started without a flow
-/// that the agent has not seen.
-const START_SLACK: Millis = Millis(1_000);
-
 /// What one agent is.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -119,7 +115,6 @@
     chains: chains::Chains,
     chained: Option<u64>,
     complete: bool,
-    started: Millis,
     leaving: bool,
     probes: mpsc::Sender<bool>,
     tally: tally::Tally,
@@ -198,10 +193,9 @@
         chains: chains::Chains::new(service, node.roster()),
         chained: None,
         node,
-        status: status::Status::new(service),
+        status: status::Status::new(service, settings.period),
         flows: owner::Flows::new(stop),
         complete: settings.first,
-        started: clock::wall(),
         leaving: false,
         probes,
         tally,
@@ -321,12 +315,12 @@
 
     fn report(&mut self, report: status::Report) {
         let known = self.status.report().is_some();
-        let (state, slots, born) = (report.state, report.slots, report.born);
+        let (state, slots) = (report.state, report.slots);
         let id = report.id.clone();
         match self.status.take(report, self.clock.now()) {
             status::Effect::Run => {
                 info!(upstream = id, slots = slots, state:? = state; "upstream has started");
-                self.complete |= known || born + START_SLACK >= self.started;
+                self.complete |= known;
                 self.flows.load_mut().resize(slots);
             }
             status::Effect::Fresh => self.flows.load_mut().resize(slots),
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -639,7 +639,7 @@
             rows.any(|row| row.direct && row.entry.upstream.is_none())
         };
         let isolated = around.roster.is_isolated(around.now);
-        if around.now < SETTLED || !around.complete || !balancers() || isolated {
+        if around.now < SETTLED || !balancers() || isolated {
             return;
         }
         let nobody = |search: &mut Search| {
--- a/src/status.rs
+++ b/src/status.rs
@@ -4,6 +4,9 @@
 
 use crate::{clock::Millis, ident, member};
 
+/// Periods without a report after which the run in force may have ended.
+const SILENT: u64 = 2;
+
 /// One report of an upstream about itself.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Report {
@@ -36,24 +39,36 @@
     Foreign,
 }
 
+/// A run whose start lies before that of the run in force: reports that came late,
+/// or an upstream that started after its wall clock had gone back.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Earlier {
+    born: Millis,
+    seq: u64,
+}
+
 /// The upstream beside one agent.
 #[derive(Clone, Debug, Serialize)]
 pub struct Status {
     service: ident::ServiceId,
+    period: Millis,
     report: Option<Report>,
     heard: Millis,
     left: Option<Millis>,
+    earlier: Option<Earlier>,
 }
 
 impl Status {
-    /// Nothing heard yet of an upstream of a service.
+    /// Nothing heard yet of an upstream of a service that reports each `period`.
     #[must_use]
-    pub const fn new(service: ident::ServiceId) -> Self {
+    pub const fn new(service: ident::ServiceId, period: Millis) -> Self {
         Self {
             service,
+            period,
             report: None,
             heard: Millis(0),
             left: None,
+            earlier: None,
         }
     }
 
@@ -62,20 +77,39 @@
         if report.service != self.service {
             return Effect::Foreign;
         }
-        if self.left.is_some_and(|born| report.born <= born) {
-            return Effect::Late;
-        }
-        let effect = match &self.report {
-            None => Effect::Run,
-            Some(last) if report.born > last.born => Effect::Run,
-            Some(last) if report.born < last.born || report.seq <= last.seq => return Effect::Late,
-            Some(_) => Effect::Fresh,
+        let last = self.report.as_ref().map(|last| (last.born, last.seq));
+        let effect = match last {
+            Some((born, seq)) if report.born == born && report.seq > seq => Effect::Fresh,
+            Some((born, _)) if report.born == born => return Effect::Late,
+            _ if self.is_later(&report) || self.goes_on(&report, now) => Effect::Run,
+            _ => return Effect::Late,
         };
+        self.earlier = None;
         self.report = Some(report);
         self.heard = now;
         effect
     }
 
+    /// Whether the report's run started after all that are known.
+    fn is_later(&self, report: &Report) -> bool {
+        let last = self.report.as_ref().map(|last| last.born);
+        last.max(self.left).is_none_or(|known| report.born > known)
+    }
+
+    /// Whether a run that seems to be an earlier one goes on reporting while the
+    /// run in force is silent: then the wall clock went back between their starts.
+    fn goes_on(&mut self, report: &Report, now: Millis) -> bool {
+        let silent = self.report.is_none() || now.since(self.heard).0 > self.period.0 * SILENT;
+        let before = self.earlier.replace(Earlier {
+            born: report.born,
+            seq: report.seq,
+        });
+        let ended = self.left == Some(report.born);
+        silent
+            && !ended
+            && before.is_some_and(|before| before.born == report.born && report.seq > before.seq)
+    }
+
     /// Takes the goodbye of an upstream; false where it is not the one in force.
     pub fn leave(&mut self, id: &str, born: Option<Millis>) -> bool {
         let fits = |report: &&Report| {
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -9,6 +9,7 @@
 use yare::parameterized;
 
 const SERVICE: ServiceId = ServiceId(7);
+const PERIOD: Millis = Millis(1_000);
 
 fn report(born: u64, seq: u64) -> Report {
     Report {
@@ -30,14 +31,14 @@
     later_run = { 11, 1, Effect::Run },
 )]
 fn report_counts_by_run_and_number(born: u64, seq: u64, effect: Effect) {
-    let mut status = Status::new(SERVICE);
+    let mut status = Status::new(SERVICE, PERIOD);
     assert_eq!(status.take(report(10, 5), Millis(0)), Effect::Run);
     assert_eq!(status.take(report(born, seq), Millis(1)), effect);
 }
 
 #[test]
 fn late_report_does_not_undo_a_drain() {
-    let mut status = Status::new(SERVICE);
+    let mut status = Status::new(SERVICE, PERIOD);
     let draining = Report {
         state: member::State::Draining,
         ..report(10, 6)
@@ -50,14 +51,14 @@
 
 #[test]
 fn report_about_another_service_names_no_upstream() {
-    let mut status = Status::new(ServiceId(8));
+    let mut status = Status::new(ServiceId(8), PERIOD);
     assert_eq!(status.take(report(10, 5), Millis(0)), Effect::Foreign);
     assert_eq!(status.report(), None);
 }
 
 #[test]
 fn late_report_of_an_upstream_that_left_changes_nothing() {
-    let mut status = Status::new(SERVICE);
+    let mut status = Status::new(SERVICE, PERIOD);
     status.take(report(10, 5), Millis(0));
     assert!(status.leave("u-1", None));
     assert_eq!(status.take(report(10, 6), Millis(1)), Effect::Late);
@@ -69,8 +70,35 @@
     earlier_run = { "u-1", Some(Millis(9)) },
 )]
 fn goodbye_of_another_run_changes_nothing(id: &str, born: Option<Millis>) {
-    let mut status = Status::new(SERVICE);
+    let mut status = Status::new(SERVICE, PERIOD);
     status.take(report(10, 5), Millis(0));
     assert!(!status.leave(id, born));
     assert!(status.report().is_some());
 }
+
+#[test]
+fn run_that_started_after_its_clock_went_back_is_taken() {
+    let mut status = Status::new(SERVICE, PERIOD);
+    status.take(report(10, 5), Millis(0));
+    assert_eq!(status.take(report(3, 1), Millis(2_500)), Effect::Late);
+    assert_eq!(status.take(report(3, 2), Millis(3_500)), Effect::Run);
+    assert_eq!(status.take(report(3, 3), Millis(4_500)), Effect::Fresh);
+}
+
+#[test]
+fn late_reports_do_not_replace_a_run_that_reports() {
+    let mut status = Status::new(SERVICE, PERIOD);
+    status.take(report(10, 5), Millis(0));
+    assert_eq!(status.take(report(3, 1), Millis(500)), Effect::Late);
+    status.take(report(10, 6), Millis(1_000));
+    assert_eq!(status.take(report(3, 2), Millis(1_500)), Effect::Late);
+}
+
+#[test]
+fn late_reports_of_an_upstream_that_left_never_count() {
+    let mut status = Status::new(SERVICE, PERIOD);
+    status.take(report(10, 5), Millis(0));
+    status.leave("u-1", None);
+    assert_eq!(status.take(report(10, 6), Millis(9_000)), Effect::Late);
+    assert_eq!(status.take(report(10, 7), Millis(10_000)), Effect::Late);
+}
