--- a/src/owner.rs
+++ b/src/owner.rs
@@ -321,11 +321,16 @@
     }
 
     /// Decides on a packet that the upstream sent or returned.
+    ///
+    /// Only what answers a packet shows that the upstream lives: it may still close
+    /// idle flows when it takes nothing any more.
     pub fn outbound(&mut self, around: &mut Around<'_>, segment: &Segment) -> Action {
+        if segment.bounced || segment.accepting || segment.len > 0 {
+            self.suspicion = None;
+        }
         if segment.bounced {
             return self.bounced(around, segment);
         }
-        self.suspicion = None;
         let flow = segment.outbound();
         match self.position(&flow) {
             Ok(at) => self.note_answer(at, segment, around.now),
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -448,6 +448,21 @@
     assert!(matches!(action, Action::Deliver(_)));
 }
 
+#[test]
+fn upstream_that_only_closes_idle_flows_stays_suspect() {
+    let mut world = World::new(&[2]);
+    world.inbound(header(&[1, 2]), &opening(4_000), Millis(0));
+    world.tick(Millis(200));
+    let closing = Segment {
+        fin: true,
+        len: 0,
+        ..answer(3_000)
+    };
+    world.outbound(&closing, Millis(300));
+    let action = world.inbound(header(&[1, 2]), &opening(4_001), Millis(400));
+    assert_eq!(next_stop(&action), Some(2));
+}
+
 #[test]
 fn copy_of_an_opening_packet_does_not_follow_a_statement() {
     let mut world = World::new(&[2]);
