--- a/src/carry.rs
+++ b/src/carry.rs
@@ -84,8 +84,8 @@
     pub origin: ident::DomainId,
     /// The target first, then the candidates that come after it.
     pub stops: Vec<Stop>,
-    /// Time within which a request of the flow should be answered.
-    pub target: Millis,
+    /// Longest expected wait, service included, with which a new flow is still accepted.
+    pub patience: Millis,
     /// The best stop so far, for a packet that opens a flow.
     pub best: Option<Best>,
     /// The agent that wants to hear who owns the flow.
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -536,7 +536,7 @@
         }
         match header.best.take() {
             None => Action::Drop(Reason::Full),
-            Some(best) if best.wait.0 * 2 > header.target.0 => Action::Reset(flow, 0),
+            Some(best) if best.wait > header.patience => Action::Reset(flow, 0),
             Some(best) if best.stop.hop.node == self.me.hop.node => {
                 self.accept(around, header, segment, bytes)
             }
--- a/src/passage.rs
+++ b/src/passage.rs
@@ -93,6 +93,15 @@
         self.former.truncate(MAX_FORMER);
     }
 
+    /// How long new work may wait: urgent work up to its target, other work half
+    /// as long, so that urgent work still finds room when there is too much of all.
+    fn patience(&self) -> Millis {
+        match self.class {
+            record::Class::Urgent => self.target,
+            record::Class::Normal | record::Class::Bulk => Millis(self.target.0 / 2),
+        }
+    }
+
     /// The target of a new flow by its hash.
     fn pick(&self, hash: u64) -> Option<ServiceId> {
         let total: u64 = self.targets.iter().map(|target| weight(*target)).sum();
@@ -202,7 +211,7 @@
         mode: carry::Mode::Chain,
         origin,
         stops,
-        target: route.target,
+        patience: route.patience(),
         best: None,
         asker: None,
     })
--- a/tests/carry.rs
+++ b/tests/carry.rs
@@ -26,7 +26,7 @@
         mode: Mode::Chain,
         origin: DomainId(u32::MAX),
         stops: vec![stop; stops],
-        target: Millis(500),
+        patience: Millis(500),
         best: Some(carry::Best {
             stop,
             wait: Millis(100),
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -20,7 +20,7 @@
 const DOMAIN: DomainId = DomainId(1);
 const SEED: u64 = 11;
 const ISN: u32 = 5_000;
-const TARGET: Millis = Millis(200);
+const PATIENCE: Millis = Millis(100);
 const LATER: Millis = Millis(2_000);
 
 fn hop(node: u16) -> Hop {
@@ -137,7 +137,7 @@
         mode: Mode::Chain,
         origin: DOMAIN,
         stops: stops.iter().map(|node| stop(*node)).collect(),
-        target: TARGET,
+        patience: PATIENCE,
         best: None,
         asker: None,
     }
--- a/tests/passage.rs
+++ b/tests/passage.rs
@@ -105,7 +105,6 @@
     let mut nodes = nodes(&header);
     nodes.sort_unstable();
     assert_eq!(nodes, [1, 2, 3, 4]);
-    assert_eq!(header.target, Millis(200));
 }
 
 #[parameterized(
@@ -195,3 +194,15 @@
     let header = passage::header(None, &mut tables, &roster, SEED, &segment(4_000, true));
     assert_eq!(header, Err(Refusal::Unconfigured));
 }
+
+#[parameterized(
+    urgent = { record::Class::Urgent, 200 },
+    normal = { record::Class::Normal, 100 },
+    bulk = { record::Class::Bulk, 100 },
+)]
+fn urgent_work_may_wait_longer(class: record::Class, patience: u64) {
+    let mut config = config(1, vec![target(LEDGER, 1)]);
+    config.routes[0].class = class;
+    let header = header(&config, &segment(4_000, true)).unwrap();
+    assert_eq!(header.patience, Millis(patience));
+}
