Add a fault soak of the platform's roles

Real processes on loopback, paused, killed, rolled and replaced in series, with a store that is away, slow or forgetful and upstreams that crash, fall silent or leave.

--- a/src/beside.rs
+++ b/src/beside.rs
@@ -128,7 +128,7 @@
     mut events: mpsc::Receiver<Event>,
     tally: tally::Tally,
 ) -> anyhow::Result<()> {
-    let (probes, mut probed) = mpsc::channel(4);
+    let (probes, mut outcomes) = mpsc::channel(4);
     let linger = settings.linger;
     let mut state = start(settings, codec, probes, tally).await?;
     let mut ticker = time::interval(TICK);
@@ -155,7 +155,7 @@
                 Some(event) => state.event(event),
                 None => {}
             },
-            Some(listens) = probed.recv() => state.probed(listens),
+            Some(listens) = outcomes.recv() => state.probed(listens),
             _ = ticker.tick() => state.tick(),
         }
         state.flush();
@@ -425,9 +425,7 @@
     fn give_up(&mut self, now: Millis) {
         let unheard = self.flows.unheard_for(now);
         let overdue = now.since(self.status.heard()).0 > self.settings.period.0 * OVERDUE;
-        if unheard.is_some_and(|time| time >= GIVE_UP)
-            && overdue
-            && self.status.report().is_some()
+        if unheard.is_some_and(|time| time >= GIVE_UP) && overdue && self.status.report().is_some()
         {
             warn!(flows = self.flows.owned().len(); "upstream neither answers nor reports");
             self.status.lose();
@@ -521,7 +519,7 @@
         };
         let action = self.flows.outbound(&mut around, &segment);
         if action == owner::Action::Answer {
-            self.to_caller(*segment.to.ip(), &packet);
+            self.send_to_caller(*segment.to.ip(), &packet);
         } else {
             self.tell(Some(segment.inbound()), &action);
             self.act(action, &mut packet);
@@ -552,7 +550,7 @@
             }
             owner::Action::Reset(flow, seq) => {
                 let reset = (self.codec.reset)(&flow, seq);
-                self.to_caller(*flow.caller.ip(), &reset);
+                self.send_to_caller(*flow.caller.ip(), &reset);
             }
             owner::Action::Probe => self.probe(),
             owner::Action::Drop(_) | owner::Action::Answer => {}
@@ -576,7 +574,7 @@
         }
     }
 
-    fn to_caller(&mut self, ip: std::net::Ipv4Addr, bytes: &[u8]) {
+    fn send_to_caller(&mut self, ip: std::net::Ipv4Addr, bytes: &[u8]) {
         let to = SocketAddrV4::new(ip, self.settings.packets.port());
         self.post.plain(&self.packets, to, bytes);
     }
--- a/src/chains.rs
+++ b/src/chains.rs
@@ -93,7 +93,11 @@
 
     fn rank(&self, origin: ident::DomainId, bucket: usize) -> [u16; LEN] {
         let weighted = self.candidates.iter().map(|candidate| {
-            let near = if candidate.domain == origin { NEAR } else { 1.0 };
+            let near = if candidate.domain == origin {
+                NEAR
+            } else {
+                1.0
+            };
             table::Candidate {
                 weight: candidate.ranked.weight * near,
                 ..candidate.ranked
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use crate::{
-    carry::{Best, Header, MAX_FLOWS, Message, Mode, Stop, VERSION},
+    carry::{Best, Header, MAX_FLOWS, Message, Mode, Stop},
     chains,
     clock::Millis,
     header::Hop,
@@ -67,6 +67,10 @@
 }
 
 /// A flow that the upstream holds.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each end closes by itself, and the other two hold at any time"
+)]
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Owned {
     /// The flow.
@@ -346,9 +350,7 @@
             return;
         }
         for flow in flows {
-            let confirmed = self
-                .position(flow)
-                .is_ok_and(|at| self.owned[at].confirmed);
+            let confirmed = self.position(flow).is_ok_and(|at| self.owned[at].confirmed);
             if confirmed {
                 continue;
             }
@@ -460,12 +462,11 @@
         if segment.len > 0 && news {
             owned.sent = Some(end);
             owned.fresh = false;
-            match &mut owned.request {
-                Some(request) => request.since = now,
-                None => {
-                    let alone = self.load.begin();
-                    owned.request = Some(Request { since: now, alone });
-                }
+            if let Some(request) = &mut owned.request {
+                request.since = now;
+            } else {
+                let alone = self.load.begin();
+                owned.request = Some(Request { since: now, alone });
             }
         }
         owned.caller_done |= segment.fin;
@@ -579,7 +580,8 @@
     ) -> Action {
         let flow = segment.inbound();
         if header.mode != Mode::Search
-            && let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow) {
+            && let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow)
+        {
             let owner = self.redirects[at].owner;
             if around.roster.is_gone(owner.hop.node, around.now) {
                 self.redirects.remove(at);
@@ -595,9 +597,11 @@
             return Action::Deliver(token);
         }
         if header.mode == Mode::Search {
-            return header.asker.map_or(Action::Drop(Reason::NotOwned), |asker| {
-                Action::Disown(asker, flow)
-            });
+            return header
+                .asker
+                .map_or(Action::Drop(Reason::NotOwned), |asker| {
+                    Action::Disown(asker, flow)
+                });
         }
         if segment.reset {
             return Action::Drop(Reason::Ended);
@@ -799,8 +803,7 @@
         for at in 0..self.owned.len() {
             let owned = self.owned[at];
             if owned.ended.is_none() {
-                self.owned[at].homes =
-                    self.notify(around, &owned.flow, owned.origin, owned.homes);
+                self.owned[at].homes = self.notify(around, &owned.flow, owned.origin, owned.homes);
             }
         }
     }
@@ -882,14 +885,12 @@
     }
 }
 
-fn directed(header: Header, to: Stop, mode: Mode) -> Header {
-    Header {
-        version: VERSION,
-        mode,
-        stops: vec![to],
-        best: None,
-        ..header
-    }
+fn directed(mut header: Header, to: Stop, mode: Mode) -> Header {
+    header.mode = mode;
+    header.stops.clear();
+    header.stops.push(to);
+    header.best = None;
+    header
 }
 
 fn next(mut header: Header) -> Action {
--- a/src/passage.rs
+++ b/src/passage.rs
@@ -173,8 +173,7 @@
             .chains
             .binary_search_by_key(&service, chains::Chains::service);
         let at = found.unwrap_or_else(|at| {
-            self.chains
-                .insert(at, chains::Chains::new(service, roster));
+            self.chains.insert(at, chains::Chains::new(service, roster));
             at
         });
         &mut self.chains[at]
--- a/src/post.rs
+++ b/src/post.rs
@@ -94,11 +94,8 @@
             return;
         };
         carry::encode(header, &mut self.head);
-        self.sealer.seal(
-            seal::Kind::Packet,
-            &[&self.head, packet],
-            &mut self.sealed,
-        );
+        self.sealer
+            .seal(seal::Kind::Packet, &[&self.head, packet], &mut self.sealed);
         let sent = socket.try_send_to(&self.sealed, SocketAddr::V4(stop.hop.addr));
         self.note(&sent, stop.hop.addr);
     }
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -26,6 +26,10 @@
 }
 
 /// What decisions need to know of one packet.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags of a packet are independent of each other"
+)]
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Segment {
     /// The sender's end.
--- a/src/sink.rs
+++ b/src/sink.rs
@@ -45,14 +45,14 @@
 }
 
 impl Write for Sink {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        match self.lines.try_send(line.to_vec()) {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        match self.lines.try_send(buf.to_vec()) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
                 self.dropped.fetch_add(1, Ordering::Relaxed);
             }
         }
-        Ok(line.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/src/status.rs
+++ b/src/status.rs
@@ -112,9 +112,8 @@
 
     /// Takes the goodbye of an upstream; false where it is not the one in force.
     pub fn leave(&mut self, id: &str, born: Option<Millis>) -> bool {
-        let fits = |report: &&Report| {
-            report.id == id && born.is_none_or(|born| born == report.born)
-        };
+        let fits =
+            |report: &&Report| report.id == id && born.is_none_or(|born| born == report.born);
         let Some(report) = self.report.as_ref().filter(fits) else {
             return false;
         };
--- a/tests/carry.rs
+++ b/tests/carry.rs
@@ -80,10 +80,10 @@
 fn datagram_of_another_fleet_is_refused() {
     let own = post::Post::new("store 10.0.0.1:80");
     let sealer = cassiacross::seal::Sealer::new("store 10.0.0.2:80");
-    let mut sealed = Vec::new();
+    let mut datagram = Vec::new();
     let body = rmp_serde::to_vec(&Message::Want(3)).unwrap();
-    sealer.seal(cassiacross::seal::Kind::Exchange, &[&body], &mut sealed);
-    assert!(matches!(own.open(&sealed), Err(post::Error::Seal(_))));
+    sealer.seal(cassiacross::seal::Kind::Exchange, &[&body], &mut datagram);
+    assert!(matches!(own.open(&datagram), Err(post::Error::Seal(_))));
 }
 
 proptest! {
--- a/xtask/src/app.rs
+++ b/xtask/src/app.rs
@@ -1,8 +1,8 @@
 //! Command line of the developer commands.
 
-use tokio::{runtime, signal, signal::unix};
+use tokio::{runtime, signal, signal::unix, task};
 
-use crate::{demo, measure, prove, release};
+use crate::{demo, measure, prove, release, soak};
 
 /// The parsed command line.
 mod flags {
@@ -47,6 +47,17 @@
                 /// Seconds of load, 60 by default.
                 optional --seconds seconds: u64
             }
+            /// Runs the platform's roles as processes under random faults, and checks their promises.
+            ///
+            /// Exit status 0 if none was broken.
+            cmd soak {
+                /// Prints a JSON object as the last line.
+                optional --json
+                /// Seed of faults and work, 1 by default.
+                optional --seed seed: u64
+                /// Seconds of faults, 30 by default.
+                optional --seconds seconds: u64
+            }
         }
     }
 }
@@ -91,6 +102,14 @@
             })
             .await
         }
+        flags::XtaskCmd::Soak(soak) => {
+            let options = soak::Options {
+                json: soak.json,
+                seed: soak.seed.unwrap_or(1),
+                seconds: soak.seconds.unwrap_or(soak::SECONDS),
+            };
+            task::spawn_blocking(move || soak::run(options)).await?
+        }
     }
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Developer commands: demo, proof runs and measurements.
+//! Developer commands: demo, proof runs, soak and measurements.
 
 use std::process::ExitCode;
 
@@ -7,6 +7,7 @@
 mod measure;
 mod prove;
 mod release;
+mod soak;
 
 fn main() -> ExitCode {
     match app::run() {
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,197 @@
+//! Fault soak: the platform's roles as real processes, under series of random faults
+//! from outside, and the promises checked from what callers and upstreams see.
+//!
+//! Rough phases mix all faults; in planned phases, after a calm, only planned work
+//! goes on, and then no flow of a living upstream may break at all.
+
+mod faults;
+mod judge;
+mod work;
+
+use std::{
+    path::PathBuf,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use cassiacross::clock;
+use platform_standins::{Site, store::Store, upstream};
+use serde_json::{Value, json};
+
+/// Balancers' machines.
+const BALANCERS: [u8; 3] = [1, 2, 3];
+
+/// Agents' machines.
+const AGENTS: [u8; 4] = [11, 12, 13, 14];
+
+/// Seconds of faults where none are asked for.
+pub const SECONDS: u64 = 30;
+
+/// Loopback networks that soaks of several seeds share, so that some may run at a time.
+const FIRST_NET: u64 = 100;
+const NETS: u64 = 100;
+
+/// Violations that are printed.
+const SHOWN: usize = 20;
+
+/// Time between two questions whether a balancer is ready.
+const READY_PERIOD: Duration = Duration::from_millis(500);
+
+/// What a soak is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// A JSON object as the last line.
+    pub json: bool,
+    /// Seed of faults and work.
+    pub seed: u64,
+    /// Seconds of faults.
+    pub seconds: u64,
+}
+
+/// What all threads of a soak share.
+#[derive(Debug)]
+struct World {
+    clock: clock::Clock,
+    site: Mutex<Site>,
+    store: Store,
+    rotation: Mutex<Vec<u8>>,
+    log: Mutex<judge::Log>,
+    stop: AtomicBool,
+    asked: AtomicUsize,
+}
+
+impl World {
+    fn now(&self) -> clock::Millis {
+        self.clock.now()
+    }
+
+    fn is_over(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs a soak; false if a promise was broken.
+pub fn run(options: Options) -> anyhow::Result<bool> {
+    let world = start(program()?, options.seed);
+    let fabric: Vec<_> = BALANCERS
+        .map(|balancer| spawn(&world, move |world| watch(world, balancer)))
+        .into();
+    let mut chaos = faults::Chaos::start(&world, options.seed);
+    chaos.wait_until_served();
+    let callers: Vec<_> = (0..work::CALLERS)
+        .map(|caller| spawn(&world, move |world| work::run(world, caller, options.seed)))
+        .collect();
+    chaos.run(Duration::from_secs(options.seconds));
+    let recovered = chaos.recover();
+    world.stop.store(true, Ordering::Relaxed);
+    for thread in callers.into_iter().chain(fabric) {
+        anyhow::ensure!(thread.join().is_ok(), "a thread of the soak has panicked");
+    }
+    chaos.finish();
+    let mut violations = judge::judge(&lock(&world.log));
+    if !recovered {
+        violations.push("not all work was served after the faults had ended".to_owned());
+    }
+    Ok(report(&world, options, &violations))
+}
+
+fn program() -> anyhow::Result<PathBuf> {
+    let mut path = std::env::current_exe()?;
+    path.set_file_name("cassiacross-platform");
+    anyhow::ensure!(path.exists(), "{} is not built", path.display());
+    Ok(path)
+}
+
+fn start(program: PathBuf, seed: u64) -> Arc<World> {
+    let net = u8::try_from(FIRST_NET + seed % NETS).unwrap_or(u8::MAX);
+    let site = Site::new(net, program);
+    let store = Store::serve(site.store());
+    store.write("config", "main", &config(1, true));
+    Arc::new(World {
+        clock: clock::Clock::new(),
+        site: Mutex::new(site),
+        store,
+        rotation: Mutex::new(BALANCERS.to_vec()),
+        log: Mutex::default(),
+        stop: AtomicBool::new(false),
+        asked: AtomicUsize::new(0),
+    })
+}
+
+fn spawn(world: &Arc<World>, run: impl FnOnce(&World) + Send + 'static) -> thread::JoinHandle<()> {
+    let world = Arc::clone(world);
+    thread::spawn(move || run(&world))
+}
+
+/// Keeps a balancer in rotation while it says that it is ready, as the fabric does.
+fn watch(world: &World, balancer: u8) {
+    let addr = {
+        let site = lock(&world.site);
+        site.addr(balancer, site.ports.ready)
+    };
+    let mut missed = 0;
+    while !world.is_over() {
+        let ready = upstream::call(addr, "GET", "/api/ready", "") == Some(200);
+        missed = if ready { 0 } else { missed + 1 };
+        let mut rotation = lock(&world.rotation);
+        rotation.retain(|other| *other != balancer);
+        if missed < 2 {
+            rotation.push(balancer);
+            rotation.sort_unstable();
+        }
+        drop(rotation);
+        thread::sleep(READY_PERIOD);
+    }
+}
+
+/// The operator's configuration: the route that is always there, and one that comes and goes.
+fn config(version: u64, second: bool) -> Value {
+    let route = |name: &str, port: u16| {
+        json!({"Name": name, "Host": "198.18.0.1", "PathPrefix": format!("/{port}/"),
+            "RouteType": "safe", "TimeoutMs": 4000, "TargetLatencyMs": 1000, "Priority": 2,
+            "Service": "ledger"})
+    };
+    let mut routes = vec![route("always", work::ALWAYS.port())];
+    if second {
+        routes.push(route("sometimes", work::SOMETIMES.port()));
+    }
+    json!({"Version": version, "Routes": routes, "Services": [],
+        "Limits": {"IdleTimeoutMs": 60000}})
+}
+
+fn report(world: &World, options: Options, violations: &[String]) -> bool {
+    let log = lock(&world.log);
+    let asked = world.asked.load(Ordering::Relaxed);
+    for violation in violations.iter().take(SHOWN) {
+        println!("violation: {violation}");
+    }
+    if !violations.is_empty() {
+        for fault in &log.faults {
+            println!(
+                "fault: {} to {} ms, {}",
+                fault.from.0, fault.to.0, fault.what
+            );
+        }
+    }
+    println!(
+        "seed {}: {asked} requests, {} answered, {} faults, {} violations",
+        options.seed,
+        log.answered,
+        log.faults.len(),
+        violations.len()
+    );
+    if options.json {
+        let line = json!({"seed": options.seed, "requests": asked, "answered": log.answered,
+            "faults": log.faults.len(), "violations": violations});
+        println!("{line}");
+    }
+    violations.is_empty()
+}
--- /dev/null
+++ b/xtask/src/soak/work.rs
@@ -0,0 +1,146 @@
+//! Callers of a soak: each opens flows one after the other and asks on them until
+//! they break.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::atomic::Ordering,
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standins::{Answer, Requester};
+use rand::{Rng, SeedableRng, rngs};
+
+use super::{
+    World,
+    judge::{Broken, End},
+    lock,
+};
+
+/// Callers at a time.
+pub const CALLERS: u8 = 12;
+
+/// The route that is always in force.
+pub const ALWAYS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+/// The route that comes and goes.
+pub const SOMETIMES: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 444);
+
+/// First machine of callers.
+const MACHINE: u8 = 200;
+
+/// Time after which a caller gives a request up.
+const DEADLINE: Duration = Duration::from_secs(4);
+
+/// Requests on one flow.
+const REQUESTS: u32 = 12;
+
+/// Packets that get lost on their way to a balancer.
+const LOSS: f64 = 0.01;
+
+/// Longest pause between two requests, in milliseconds.
+const PAUSE_MS: u64 = 400;
+
+/// Opens flows and asks on them until the soak is over.
+pub fn run(world: &World, caller: u8, seed: u64) {
+    let mut requester = requester(world, MACHINE + caller, ALWAYS);
+    let mut rng = rngs::SmallRng::seed_from_u64(seed ^ (u64::from(caller) << 32));
+    let mut port = 1_000;
+    while !world.is_over() {
+        port = if port > 60_000 { 1_000 } else { port + 1 };
+        if let Some(isn) = open(world, &mut requester, &mut rng, port) {
+            use_flow(world, &mut requester, &mut rng, port, isn);
+        }
+    }
+}
+
+/// A requester on a machine.
+pub fn requester(world: &World, machine: u8, route: SocketAddrV4) -> Requester {
+    let site = lock(&world.site);
+    Requester::new(&site, machine, super::BALANCERS[0], route)
+}
+
+/// Opens a flow within the deadline; copies go where the fabric sends them then.
+pub fn open(
+    world: &World,
+    requester: &mut Requester,
+    rng: &mut rngs::SmallRng,
+    port: u16,
+) -> Option<u32> {
+    match ask(world, requester, rng, port, None) {
+        Some(Answer::Accepted(isn)) => Some(isn),
+        Some(Answer::Reset | Answer::Data(_)) | None => None,
+    }
+}
+
+fn use_flow(
+    world: &World,
+    requester: &mut Requester,
+    rng: &mut rngs::SmallRng,
+    port: u16,
+    isn: u32,
+) {
+    let run = isn / 1_000;
+    for _ in 0..REQUESTS {
+        if world.is_over() {
+            return;
+        }
+        world.asked.fetch_add(1, Ordering::Relaxed);
+        let asked = world.now();
+        let answer = ask(world, requester, rng, port, Some(isn + 1));
+        let end = match answer {
+            Some(Answer::Data(other)) if other == run => {
+                lock(&world.log).answered += 1;
+                thread::sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS)));
+                continue;
+            }
+            Some(Answer::Data(other)) => End::Other(other),
+            Some(Answer::Reset) => End::Reset,
+            Some(Answer::Accepted(_)) => continue,
+            None => End::Silence,
+        };
+        let broken = Broken {
+            asked,
+            at: world.now(),
+            run,
+            end,
+        };
+        lock(&world.log).broken.push(broken);
+        return;
+    }
+}
+
+/// Sends a packet again and again until something comes back.
+fn ask(
+    world: &World,
+    requester: &mut Requester,
+    rng: &mut rngs::SmallRng,
+    port: u16,
+    acked: Option<u32>,
+) -> Option<Answer> {
+    let start = Instant::now();
+    while start.elapsed() < DEADLINE {
+        steer(world, requester, port);
+        if !rng.random_bool(LOSS) {
+            requester.send(port, acked);
+        }
+        if let Some(answer) = requester.receive(port) {
+            return Some(answer);
+        }
+    }
+    None
+}
+
+/// Turns to the balancer that the fabric has for a flow now.
+fn steer(world: &World, requester: &mut Requester, port: u16) {
+    let balancer = {
+        let rotation = lock(&world.rotation);
+        let all = if rotation.is_empty() {
+            &super::BALANCERS[..]
+        } else {
+            &rotation[..]
+        };
+        all[usize::from(port) % all.len()]
+    };
+    requester.ask_via(&lock(&world.site), balancer);
+}
