--- a/src/beside.rs
+++ b/src/beside.rs
@@ -18,7 +18,7 @@
 use crate::{
     carry, chains,
     clock::{self, Millis},
-    header, ident, member, node, owner,
+    header, held, ident, member, node, owner,
     packet::Flow,
     post, roster, segment, status, tally,
 };
@@ -94,7 +94,7 @@
     slots: u32,
     mean_ms: Millis,
     unheard_ms: Option<Millis>,
-    flows: &'a [owner::Owned],
+    flows: &'a [held::Held],
     redirects: usize,
     roster: &'a roster::Roster,
     config: u64,
@@ -269,7 +269,7 @@
             slots: load.slots(),
             mean_ms: load.mean(),
             unheard_ms: self.flows.unheard_for(now),
-            flows: self.flows.owned(),
+            flows: self.flows.held(),
             redirects: self.flows.redirects(),
             roster: self.node.roster(),
             config: self.node.version(),
@@ -334,7 +334,7 @@
             debug!(upstream = id; "goodbye of another run");
             return;
         }
-        info!(upstream = id, flows = self.flows.owned().len(); "upstream has left");
+        info!(upstream = id, flows = self.flows.held().len(); "upstream has left");
         self.lose();
     }
 
@@ -345,7 +345,7 @@
             return;
         }
         if self.status.report().is_some() {
-            warn!(flows = self.flows.owned().len(); "upstream no longer listens");
+            warn!(flows = self.flows.held().len(); "upstream no longer listens");
             self.status.lose();
             self.lose();
         }
@@ -427,7 +427,7 @@
         let overdue = now.since(self.status.heard()).0 > self.settings.period.0 * OVERDUE;
         if unheard.is_some_and(|time| time >= GIVE_UP) && overdue && self.status.report().is_some()
         {
-            warn!(flows = self.flows.owned().len(); "upstream neither answers nor reports");
+            warn!(flows = self.flows.held().len(); "upstream neither answers nor reports");
             self.status.lose();
             self.lose();
         }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -12,11 +12,13 @@
     carry::{Best, Header, MAX_FLOWS, Message, Mode, Stop},
     chains,
     clock::Millis,
+    directory,
     header::Hop,
-    ident::{DomainId, Incarnation, NodeId},
+    held,
+    ident::{DomainId, NodeId},
     load,
     packet::Flow,
-    roster,
+    ring, roster,
     segment::Segment,
 };
 
@@ -32,64 +34,10 @@
 /// Shortest time without a word on any busy flow after which the upstream is probed.
 const HANGING: Millis = Millis(500);
 
-/// Time within which a new flow's first request is expected.
-const FIRST_REQUEST: Millis = Millis(100);
-
-/// Time after which an opened flow that the caller did not confirm is forgotten.
-const HALF_OPEN_LIMIT: Millis = Millis(3_000);
-
-/// Time for which an ended flow is remembered, since late packets still belong to it.
-const ENDED_LIMIT: Millis = Millis(5_000);
-
-/// Time without packets after which a flow, or who owns it, is forgotten.
-const IDLE_LIMIT: Millis = Millis(75_000);
-
-/// Time after which a request that has no answer no longer counts as load.
-const BUSY_LIMIT: Millis = Millis(15_000);
-
-/// Time between two searches for the owner of one flow.
-const SEARCH_INTERVAL: Millis = Millis(100);
-
 /// Time after its start for which an agent may not know all others, and so
 /// declares no flow lost.
 const SETTLED: Millis = Millis(1_000);
 
-/// Owners and searches that one agent remembers.
-const MAX_ENTRIES: usize = 65_536;
-
-/// Delivered packets whose way on is remembered.
-const RING: usize = 1_024;
-
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Request {
-    since: Millis,
-    alone: bool,
-}
-
-/// A flow that the upstream holds.
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each end closes by itself, and the other two hold at any time"
-)]
-#[derive(Clone, Copy, Debug, Serialize)]
-pub struct Owned {
-    /// The flow.
-    pub flow: Flow,
-    origin: DomainId,
-    opened: Millis,
-    last: Millis,
-    isn: Option<u32>,
-    confirmed: bool,
-    fresh: bool,
-    ack: u32,
-    sent: Option<u32>,
-    request: Option<Request>,
-    caller_done: bool,
-    upstream_done: bool,
-    ended: Option<Millis>,
-    homes: [Option<(NodeId, Incarnation)>; HOMES],
-}
-
 /// An upstream that does not answer.
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Suspicion {
@@ -97,28 +45,6 @@
     probed: Millis,
 }
 
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Redirect {
-    flow: Flow,
-    owner: Stop,
-    since: Millis,
-}
-
-#[derive(Clone, Debug, Serialize)]
-struct Search {
-    flow: Flow,
-    last: Millis,
-    ack: u32,
-    unheard: Vec<NodeId>,
-}
-
-#[derive(Clone, Debug)]
-struct Pending {
-    token: u32,
-    flow: Flow,
-    header: Header,
-}
-
 #[derive(Clone, Debug)]
 struct Unanswered {
     flow: Flow,
@@ -224,11 +150,9 @@
 pub struct Flows {
     me: Stop,
     load: load::Load,
-    owned: Vec<Owned>,
-    redirects: Vec<Redirect>,
-    searches: Vec<Search>,
-    ring: Vec<Option<Pending>>,
-    next: u32,
+    held: Vec<held::Held>,
+    directory: directory::Directory,
+    ring: ring::Ring,
     unanswered: Vec<Unanswered>,
     suspicion: Option<Suspicion>,
     notices: Vec<(Hop, Flow)>,
@@ -243,11 +167,9 @@
         Self {
             me,
             load: load::Load::new(1),
-            owned: Vec::new(),
-            redirects: Vec::new(),
-            searches: Vec::new(),
-            ring: vec![None; RING],
-            next: 1,
+            held: Vec::new(),
+            directory: directory::Directory::default(),
+            ring: ring::Ring::new(),
             unanswered: Vec::new(),
             suspicion: None,
             notices: Vec::new(),
@@ -274,14 +196,14 @@
 
     /// The flows that the upstream holds.
     #[must_use]
-    pub fn owned(&self) -> &[Owned] {
-        &self.owned
+    pub fn held(&self) -> &[held::Held] {
+        &self.held
     }
 
     /// Flows whose owner elsewhere is known here.
     #[must_use]
     pub const fn redirects(&self) -> usize {
-        self.redirects.len()
+        self.directory.len()
     }
 
     /// Takes the agent's own stop, which changes when its run is numbered anew.
@@ -314,7 +236,7 @@
         }
         let flow = segment.inbound();
         if let Ok(at) = self.position(&flow)
-            && confirm(&mut self.owned[at], segment)
+            && self.held[at].confirm(segment)
         {
             return self.deliver_owned(at, &header, segment, around.now);
         }
@@ -338,7 +260,11 @@
         let flow = segment.outbound();
         match self.position(&flow) {
             Ok(at) => self.note_answer(at, segment, around.now),
-            Err(at) if !around.complete => self.learn(at, flow, segment, around),
+            Err(at) if !around.complete => {
+                let origin = around.roster.me().domain;
+                let learned = held::Held::learned(segment, origin, around.now);
+                self.held.insert(at, learned);
+            }
             Err(_) => {}
         }
         Action::Answer
@@ -350,22 +276,9 @@
             return;
         }
         for flow in flows {
-            let confirmed = self.position(flow).is_ok_and(|at| self.owned[at].confirmed);
-            if confirmed {
-                continue;
-            }
-            let entry = Redirect {
-                flow: *flow,
-                owner,
-                since: now,
-            };
-            if let Ok(at) = self.searches.binary_search_by_key(flow, |s| s.flow) {
-                self.searches.remove(at);
-            }
-            match self.redirects.binary_search_by_key(flow, |r| r.flow) {
-                Ok(at) => self.redirects[at] = entry,
-                Err(at) if self.redirects.len() < MAX_ENTRIES => self.redirects.insert(at, entry),
-                Err(_) => {}
+            let held = self.position(flow);
+            if !held.is_ok_and(|at| self.held[at].is_confirmed()) {
+                self.directory.state(*flow, owner, now);
             }
         }
     }
@@ -373,9 +286,7 @@
     /// Takes another agent's statement that it does not own flows that were searched for.
     pub fn disowned(&mut self, node: NodeId, flows: &[Flow]) {
         for flow in flows {
-            if let Ok(at) = self.searches.binary_search_by_key(flow, |s| s.flow) {
-                self.searches[at].unheard.retain(|other| *other != node);
-            }
+            self.directory.disown(node, flow);
         }
     }
 
@@ -421,16 +332,16 @@
 
     /// Gives up all flows of an upstream that is gone; each caller is told.
     pub fn lose(&mut self, out: &mut Vec<Action>) {
-        let open = self.owned.iter().filter(|flow| flow.ended.is_none());
-        out.extend(open.map(|owned| Action::Reset(owned.flow, owned.ack)));
-        self.owned.clear();
+        let open = self.held.iter().filter(|held| held.is_open());
+        out.extend(open.map(|held| Action::Reset(held.flow, held.ack)));
+        self.held.clear();
         self.unanswered.clear();
         self.suspicion = None;
         self.load = load::Load::new(self.load.slots());
     }
 
     fn position(&self, flow: &Flow) -> Result<usize, usize> {
-        self.owned.binary_search_by(|entry| entry.flow.cmp(flow))
+        self.held.binary_search_by(|entry| entry.flow.cmp(flow))
     }
 
     fn deliver_owned(
@@ -441,77 +352,20 @@
         now: Millis,
     ) -> Action {
         if let Some(asker) = header.asker.filter(|hop| hop.node != self.me.hop.node) {
-            self.notices.push((asker, self.owned[at].flow));
+            self.notices.push((asker, self.held[at].flow));
         }
-        self.owned[at].origin = header.origin;
-        self.note_request(at, segment, now);
+        self.held[at].origin = header.origin;
+        self.held[at].note_request(segment, &mut self.load, now);
         Action::Deliver(0)
     }
 
-    fn note_request(&mut self, at: usize, segment: &Segment, now: Millis) {
-        let owned = &mut self.owned[at];
-        owned.last = now;
-        if segment.opening {
-            return;
-        }
-        owned.ack = segment.ack;
-        let end = segment
-            .seq
-            .wrapping_add(u32::try_from(segment.len).unwrap_or(0));
-        let news = owned.sent.is_none_or(|sent| is_after(end, sent));
-        if segment.len > 0 && news {
-            owned.sent = Some(end);
-            owned.fresh = false;
-            if let Some(request) = &mut owned.request {
-                request.since = now;
-            } else {
-                let alone = self.load.begin();
-                owned.request = Some(Request { since: now, alone });
-            }
-        }
-        owned.caller_done |= segment.fin;
-        if segment.reset || (owned.caller_done && owned.upstream_done) {
-            owned.ended.get_or_insert(now);
-        }
-        if owned.ended.is_some() && owned.request.take().is_some() {
-            self.load.cancel();
-        }
-    }
-
     fn note_answer(&mut self, at: usize, segment: &Segment, now: Millis) {
-        let owned = &mut self.owned[at];
-        owned.last = now;
         if segment.accepting {
-            owned.isn = Some(segment.seq);
-            let flow = owned.flow;
+            let flow = self.held[at].flow;
             self.unanswered.retain(|entry| entry.flow != flow);
-            return;
-        }
-        owned.confirmed = true;
-        if segment.len > 0
-            && let Some(request) = owned.request.take()
-        {
-            let took = now.since(request.since);
-            self.served.push(took);
-            self.load.answer(request.alone.then_some(took));
-        }
-        owned.upstream_done |= segment.fin;
-        if segment.reset || (owned.caller_done && owned.upstream_done) {
-            owned.ended.get_or_insert(now);
-            if owned.request.take().is_some() {
-                self.load.cancel();
-            }
         }
-    }
-
-    /// Notes a flow that the upstream has had since before this process started.
-    fn learn(&mut self, at: usize, flow: Flow, segment: &Segment, around: &Around<'_>) {
-        let mut owned = new_owned(flow, around.roster.me().domain, around.now);
-        owned.confirmed = !segment.accepting;
-        owned.isn = segment.accepting.then_some(segment.seq);
-        owned.fresh = false;
-        owned.ack = segment.seq;
-        self.owned.insert(at, owned);
+        let took = self.held[at].note_answer(segment, &mut self.load, now);
+        self.served.extend(took);
     }
 
     fn open(
@@ -553,16 +407,14 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
-        let mut owned = new_owned(flow, header.origin, around.now);
-        owned.homes = self.notify(around, &flow, header.origin, owned.homes);
+        let mut held = held::Held::new(flow, header.origin, around.now);
+        held.homes = self.notify(around, &flow, header.origin, held.homes);
         match self.position(&flow) {
-            Ok(at) => self.owned[at] = owned,
-            Err(at) => self.owned.insert(at, owned),
-        }
-        if let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow) {
-            self.redirects.remove(at);
+            Ok(at) => self.held[at] = held,
+            Err(at) => self.held.insert(at, held),
         }
-        let token = self.remember(flow, header);
+        self.directory.forget(&flow);
+        let token = self.ring.remember(flow, header);
         self.unanswered.push(Unanswered {
             flow,
             token,
@@ -580,11 +432,10 @@
     ) -> Action {
         let flow = segment.inbound();
         if header.mode != Mode::Search
-            && let Ok(at) = self.redirects.binary_search_by_key(&flow, |r| r.flow)
+            && let Some(owner) = self.directory.owner(&flow)
         {
-            let owner = self.redirects[at].owner;
             if around.roster.is_gone(owner.hop.node, around.now) {
-                self.redirects.remove(at);
+                self.directory.forget(&flow);
                 return Action::Reset(flow, segment.ack);
             }
             if header.mode != Mode::Owner {
@@ -593,7 +444,7 @@
             }
         }
         if !around.complete && !segment.reset {
-            let token = self.remember(flow, header);
+            let token = self.ring.remember(flow, header);
             return Action::Deliver(token);
         }
         if header.mode == Mode::Search {
@@ -615,24 +466,14 @@
 
     /// Searches for the owner among all agents; this agent hears who it is, or is not.
     fn search(&mut self, around: &Around<'_>, header: Header, segment: &Segment) -> Action {
-        let now = around.now;
         let agents = around.roster.agents(self.me.service);
-        let search = Search {
-            flow: segment.inbound(),
-            last: now,
-            ack: segment.ack,
-            unheard: agents
-                .map(|entry| entry.node)
-                .filter(|node| *node != self.me.hop.node)
-                .collect(),
-        };
-        match self.searches.binary_search_by_key(&search.flow, |s| s.flow) {
-            Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => {
-                return Action::Drop(Reason::Searched);
-            }
-            Ok(at) => self.searches[at] = search,
-            Err(at) if self.searches.len() < MAX_ENTRIES => self.searches.insert(at, search),
-            Err(_) => return Action::Drop(Reason::Searched),
+        let others = agents
+            .map(|entry| entry.node)
+            .filter(|node| *node != self.me.hop.node)
+            .collect();
+        let flow = segment.inbound();
+        if !self.directory.search(flow, segment.ack, others, around.now) {
+            return Action::Drop(Reason::Searched);
         }
         Action::Search(Header {
             mode: Mode::Search,
@@ -651,17 +492,15 @@
         if around.now < SETTLED || !balancers() || isolated {
             return;
         }
-        let nobody = |search: &mut Search| {
-            let mut unheard = search.unheard.iter();
-            unheard.all(|node| around.roster.is_gone(*node, around.now))
-        };
-        let lost = self.searches.extract_if(.., nobody);
-        out.extend(lost.map(|search| Action::Reset(search.flow, search.ack)));
+        let lost = self
+            .directory
+            .take_lost(|node| around.roster.is_gone(node, around.now));
+        out.extend(lost.into_iter().map(|(flow, ack)| Action::Reset(flow, ack)));
     }
 
     fn bounced(&mut self, around: &mut Around<'_>, segment: &Segment) -> Action {
         let flow = segment.inbound();
-        let pending = self.recall(segment.token, &flow);
+        let pending = self.ring.recall(segment.token, &flow);
         if segment.opening {
             self.unanswered.retain(|entry| entry.flow != flow);
             self.forget(&flow);
@@ -679,12 +518,12 @@
             };
         }
         if let Ok(at) = self.position(&flow) {
-            let owned = self.owned[at];
+            let held = self.held[at];
             self.forget(&flow);
-            if owned.ended.is_some() || segment.reset {
+            if !held.is_open() || segment.reset {
                 return Action::Drop(Reason::Ended);
             }
-            if owned.confirmed {
+            if held.is_confirmed() {
                 return Action::Reset(flow, segment.ack);
             }
         }
@@ -704,51 +543,21 @@
 
     fn forget(&mut self, flow: &Flow) {
         if let Ok(at) = self.position(flow) {
-            let owned = self.owned.remove(at);
-            if owned.request.is_some() {
-                self.load.cancel();
-            }
+            self.held.remove(at).cancel(&mut self.load);
         }
     }
 
     /// New flows whose first request has not come yet.
     fn expected(&self, now: Millis) -> u32 {
-        let count = self
-            .owned
-            .iter()
-            .filter(|owned| owned.fresh && now.since(owned.opened) < FIRST_REQUEST)
-            .count();
-        u32::try_from(count).unwrap_or(u32::MAX)
-    }
-
-    fn remember(&mut self, flow: Flow, header: Header) -> u32 {
-        let token = self.next;
-        self.next = self.next.checked_add(1).unwrap_or(1);
-        self.ring[slot(token)] = Some(Pending {
-            token,
-            flow,
-            header,
-        });
-        token
-    }
-
-    fn recall(&mut self, token: u32, flow: &Flow) -> Option<Header> {
-        let place = &mut self.ring[slot(token)];
-        let fits = place
-            .as_ref()
-            .is_some_and(|pending| pending.token == token && pending.flow == *flow);
-        if fits {
-            place.take().map(|pending| pending.header)
-        } else {
-            None
-        }
+        let fresh = self.held.iter().filter(|held| held.is_expected(now));
+        u32::try_from(fresh.count()).unwrap_or(u32::MAX)
     }
 
     /// Passes an opening packet on that the upstream left without an answer.
     fn unheard(&mut self, entry: Unanswered, out: &mut Vec<Action>, now: Millis) {
         self.suspect(now);
         self.forget(&entry.flow);
-        let Some(header) = self.recall(entry.token, &entry.flow) else {
+        let Some(header) = self.ring.recall(entry.token, &entry.flow) else {
             return;
         };
         if let Action::Send(header) = pass_or(header, Action::Drop(Reason::Full)) {
@@ -766,32 +575,16 @@
 
     /// Whether requests are in hand and nothing was heard of any flow for long.
     fn is_hanging(&self, now: Millis) -> bool {
-        let busy = self.owned.iter().filter(|owned| owned.request.is_some());
-        let oldest = busy.clone().map(|owned| owned.last).max();
+        let busy = self.held.iter().filter(|held| held.is_busy());
+        let newest = busy.map(held::Held::last).max();
         let limit = Millis(self.load.mean().0.saturating_mul(10)).max(HANGING);
-        oldest.is_some_and(|last| now.since(last) > limit) && busy.count() > 0
+        newest.is_some_and(|last| now.since(last) > limit)
     }
 
     fn lapse(&mut self, now: Millis) {
         let load = &mut self.load;
-        for owned in &mut self.owned {
-            let stuck = |request: &Request| now.since(request.since) >= BUSY_LIMIT;
-            if owned.request.as_ref().is_some_and(stuck) {
-                owned.request = None;
-                load.cancel();
-            }
-        }
-        self.owned.retain(|owned| {
-            let lapsed = is_lapsed(owned, now);
-            if lapsed && owned.request.is_some() {
-                load.cancel();
-            }
-            !lapsed
-        });
-        self.redirects
-            .retain(|entry| now.since(entry.since) < IDLE_LIMIT);
-        self.searches
-            .retain(|entry| now.since(entry.last) < ENDED_LIMIT);
+        self.held.retain_mut(|held| !held.lapse(load, now));
+        self.directory.lapse(now);
     }
 
     /// Tells agents that have become homes of flows owned here.
@@ -800,10 +593,10 @@
             return;
         }
         self.placed = Some(around.roster.revision());
-        for at in 0..self.owned.len() {
-            let owned = self.owned[at];
-            if owned.ended.is_none() {
-                self.owned[at].homes = self.notify(around, &owned.flow, owned.origin, owned.homes);
+        for at in 0..self.held.len() {
+            let held = self.held[at];
+            if held.is_open() {
+                self.held[at].homes = self.notify(around, &held.flow, held.origin, held.homes);
             }
         }
     }
@@ -813,8 +606,8 @@
         around: &mut Around<'_>,
         flow: &Flow,
         origin: DomainId,
-        told: [Option<(NodeId, Incarnation)>; HOMES],
-    ) -> [Option<(NodeId, Incarnation)>; HOMES] {
+        told: held::Homes,
+    ) -> held::Homes {
         let mut homes = [None; HOMES];
         let chain = around.chains.chain(origin, flow.hash(around.seed));
         for (home, stop) in homes.iter_mut().zip(chain) {
@@ -828,56 +621,6 @@
     }
 }
 
-const fn slot(token: u32) -> usize {
-    token as usize % RING
-}
-
-const fn new_owned(flow: Flow, origin: DomainId, now: Millis) -> Owned {
-    Owned {
-        flow,
-        origin,
-        opened: now,
-        last: now,
-        isn: None,
-        confirmed: false,
-        fresh: true,
-        ack: 0,
-        sent: None,
-        request: None,
-        caller_done: false,
-        upstream_done: false,
-        ended: None,
-        homes: [None; HOMES],
-    }
-}
-
-/// Whether the packet belongs to the flow as the upstream holds it.
-///
-/// Of two agents that took one opening packet, the caller's first acknowledgement
-/// tells which one it speaks to.
-const fn confirm(owned: &mut Owned, segment: &Segment) -> bool {
-    if owned.confirmed || segment.opening || segment.reset {
-        return true;
-    }
-    let Some(isn) = owned.isn else {
-        return false;
-    };
-    owned.confirmed = segment.ack == isn.wrapping_add(1);
-    owned.confirmed
-}
-
-fn is_lapsed(owned: &Owned, now: Millis) -> bool {
-    let half_open = !owned.confirmed && now.since(owned.opened) >= HALF_OPEN_LIMIT;
-    let ended = owned.ended.is_some_and(|at| now.since(at) >= ENDED_LIMIT);
-    half_open || ended || now.since(owned.last) >= IDLE_LIMIT
-}
-
-/// Whether sequence number `a` comes after `b` (RFC 1982 arithmetic).
-const fn is_after(a: u32, b: u32) -> bool {
-    let ahead = a.wrapping_sub(b);
-    ahead != 0 && ahead < 1 << 31
-}
-
 fn better(a: Option<Best>, b: Option<Best>) -> Option<Best> {
     match (a, b) {
         (Some(a), Some(b)) => Some(if b.wait < a.wait { b } else { a }),
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -222,7 +222,7 @@
     let mut world = World::new(&[2]);
     let action = world.inbound(header(&[1, 2]), &opening(4_000), Millis(0));
     assert!(matches!(action, Action::Deliver(token) if token != 0));
-    assert_eq!(world.flows.owned().len(), 1);
+    assert_eq!(world.flows.held().len(), 1);
 }
 
 #[parameterized(
@@ -402,7 +402,7 @@
     };
     let action = world.outbound(&bounced, Millis(1));
     assert_eq!(next_stop(&action), Some(2));
-    assert_eq!(world.flows.owned().len(), 0);
+    assert_eq!(world.flows.held().len(), 0);
 }
 
 #[test]
@@ -422,7 +422,7 @@
     let actions = world.tick(Millis(700));
     assert_eq!(next_stop(&actions[0]), Some(2));
     assert_eq!(actions[1], Action::Probe);
-    assert_eq!(world.flows.owned().len(), 0);
+    assert_eq!(world.flows.held().len(), 0);
 }
 
 #[parameterized(
