--- a/src/beside.rs
+++ b/src/beside.rs
@@ -18,7 +18,7 @@
 use crate::{
     carry, chains,
     clock::{self, Millis},
-    header, held, ident, member, node, owner,
+    entry, header, held, ident, member, node, owner,
     packet::Flow,
     post, roster, segment, status, tally,
 };
@@ -64,8 +64,8 @@
     pub period: Millis,
     /// Whether the whole fleet starts for the first time.
     pub first: bool,
-    /// Longest time from the order to stop until the end, for requests in hand.
-    pub linger: Millis,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Millis,
 }
 
 /// What the adapter of a platform tells the loop.
@@ -129,7 +129,7 @@
     tally: tally::Tally,
 ) -> anyhow::Result<()> {
     let (probes, mut outcomes) = mpsc::channel(4);
-    let linger = settings.linger;
+    let linger = entry::linger(settings.grace);
     let mut state = start(settings, codec, probes, tally).await?;
     let mut ticker = time::interval(TICK);
     ticker.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -178,7 +178,7 @@
     let post = post::Post::new(&settings.secret);
     let clock = clock::Clock::new();
     let service = ident::ServiceId::of(&settings.service);
-    let me = entry(&settings, service);
+    let me = own_entry(&settings, service);
     let seed = me.incarnation.0;
     let stop = stop(&me, service, settings.packets);
     let seeds = settings.seeds.clone();
@@ -204,7 +204,7 @@
     })
 }
 
-fn entry(settings: &Settings, service: ident::ServiceId) -> roster::Entry {
+fn own_entry(settings: &Settings, service: ident::ServiceId) -> roster::Entry {
     roster::Entry {
         node: ident::NodeId::of(&settings.name),
         incarnation: ident::Incarnation::start(),
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -20,6 +20,10 @@
 
 use crate::{clock, ident, node, passage, post, roster, segment, tally};
 
+/// Fifths of the grace time for which a process that is to stop goes on: long enough
+/// for the fabric to turn away, short enough to end by itself on a slow host.
+const LINGER_FIFTHS: u64 = 2;
+
 /// Time between two rounds.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -38,8 +42,8 @@
     pub seeds: Vec<SocketAddrV4>,
     /// What all nodes of the fleet seal with.
     pub secret: String,
-    /// Time from the order to stop until the end, in which the fabric turns away.
-    pub linger: clock::Millis,
+    /// Time from the order to stop until the process is killed.
+    pub grace: clock::Millis,
 }
 
 /// What the adapter of a platform tells the loop.
@@ -82,6 +86,12 @@
     clock: clock::Clock,
 }
 
+/// How long a process goes on after the order to stop.
+#[must_use]
+pub const fn linger(grace: clock::Millis) -> clock::Millis {
+    clock::Millis(grace.0 * LINGER_FIFTHS / 5)
+}
+
 /// Forwards packets until the process is to stop; `ready` says whether the fabric
 /// may send some.
 pub async fn run(
@@ -108,8 +118,9 @@
             }
             event = events.recv() => match event {
                 Some(Event::Stop) | None if stop_at.is_none() => {
-                    info!(linger_ms = settings.linger.0; "balancer stops");
-                    stop_at = Some(state.clock.now() + settings.linger);
+                    let linger = linger(settings.grace);
+                    info!(linger_ms = linger.0; "balancer stops");
+                    stop_at = Some(state.clock.now() + linger);
                     state.node.update(|me| me.leaving = true);
                 }
                 Some(event) => state.event(event),
--- a/src/node.rs
+++ b/src/node.rs
@@ -31,13 +31,6 @@
     pages: Vec<Option<Vec<u8>>>,
 }
 
-/// What a message left to do for the process that got it.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Effect {
-    /// Whether a newer configuration is in force.
-    pub configured: bool,
-}
-
 /// One node's knowledge of the others.
 #[derive(Debug)]
 pub struct Node {
@@ -132,7 +125,7 @@
     }
 
     /// Takes a message.
-    pub fn message(&mut self, from: SocketAddrV4, message: Message, now: Millis) -> Effect {
+    pub fn message(&mut self, from: SocketAddrV4, message: Message, now: Millis) {
         match message {
             Message::Beat(beat) => self.beat(&beat, now),
             Message::Roster(entries) => self.entries(&entries, now),
@@ -142,10 +135,9 @@
                 index,
                 total,
                 bytes,
-            } => return self.page(version, index, total, bytes),
+            } => self.page(version, index, total, bytes),
             Message::Own { .. } | Message::Unowned { .. } => {}
         }
-        Effect::default()
     }
 
     /// Runs one round: liveness, statements, calls to silent addresses.
@@ -317,9 +309,9 @@
         }
     }
 
-    fn page(&mut self, version: u64, index: u16, total: u16, bytes: Vec<u8>) -> Effect {
+    fn page(&mut self, version: u64, index: u16, total: u16, bytes: Vec<u8>) {
         if version <= self.version() || total > MAX_PAGES || index >= total {
-            return Effect::default();
+            return;
         }
         let fits = self
             .assembly
@@ -332,21 +324,20 @@
             });
         }
         let Some(assembly) = &mut self.assembly else {
-            return Effect::default();
+            return;
         };
         assembly.pages[usize::from(index)] = Some(bytes);
         if assembly.pages.iter().any(Option::is_none) {
-            return Effect::default();
+            return;
         }
         let whole: Vec<u8> = assembly.pages.iter().flatten().flatten().copied().collect();
         self.assembly = None;
         match rmp_serde::from_slice(&whole) {
-            Ok(config) => Effect {
-                configured: self.configure(config),
-            },
+            Ok(config) => {
+                self.configure(config);
+            }
             Err(error) => {
                 warn!(version = version, error:% = error; "a peer's configuration cannot be read");
-                Effect::default()
             }
         }
     }
--- a/src/passage.rs
+++ b/src/passage.rs
@@ -50,8 +50,6 @@
     pub version: u64,
     /// The routes.
     pub routes: Vec<Route>,
-    /// Time without packets after which a flow may be forgotten.
-    pub idle: Millis,
 }
 
 impl Config {
--- a/src/segment.rs
+++ b/src/segment.rs
@@ -40,8 +40,6 @@
     pub opening: bool,
     /// Whether the packet answers an opening one (SYN with ACK).
     pub accepting: bool,
-    /// Whether the packet acknowledges.
-    pub acks: bool,
     /// Whether the sender has sent all of its data.
     pub fin: bool,
     /// Whether the packet resets its flow.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -46,7 +46,6 @@
     passage::Config {
         version,
         routes: (0..200).map(route).collect(),
-        idle: Millis(15_000),
     }
 }
 
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -164,7 +164,6 @@
         to: flow(caller).service,
         opening: false,
         accepting: false,
-        acks: true,
         fin: false,
         reset: false,
         bounced: false,
@@ -178,7 +177,6 @@
 fn opening(caller: u16) -> Segment {
     Segment {
         opening: true,
-        acks: false,
         ..segment(caller)
     }
 }
--- a/tests/passage.rs
+++ b/tests/passage.rs
@@ -66,7 +66,6 @@
             class: record::Class::Normal,
             target: Millis(200),
         }],
-        idle: Millis(15_000),
     }
 }
 
@@ -76,7 +75,6 @@
         to: address(1),
         opening,
         accepting: false,
-        acks: !opening,
         fin: false,
         reset: false,
         bounced: false,
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -26,7 +26,7 @@
 const BALANCERS: [u8; 3] = [1, 2, 3];
 
 /// Agents' machines.
-const AGENTS: [u8; 4] = [11, 12, 13, 14];
+const AGENTS: [u8; 7] = [11, 12, 13, 14, 15, 16, 17];
 
 /// Seconds of faults where none are asked for.
 pub const SECONDS: u64 = 30;
