--- a/src/beside.rs
+++ b/src/beside.rs
@@ -397,23 +397,30 @@
         }
     }
 
-    fn tick(&mut self) {
-        let now = self.clock.now();
-        self.complete |= now >= COMPLETE_AFTER;
-        self.node.tick(now);
-        self.restate();
+    /// Has the flows decide on something, under all that is known now.
+    fn decide<T>(
+        &mut self,
+        decision: impl FnOnce(&mut owner::Flows, &mut owner::Around<'_>) -> T,
+    ) -> T {
         self.rank();
-        let accepts = self.accepts();
-        let mut actions = Vec::new();
         let mut around = owner::Around {
-            accepts,
+            accepts: self.accepts(),
             complete: self.complete,
             chains: &mut self.chains,
             roster: self.node.roster(),
             seed: self.seed,
-            now,
+            now: self.clock.now(),
         };
-        self.flows.tick(&mut around, &mut actions);
+        decision(&mut self.flows, &mut around)
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        self.complete |= now >= COMPLETE_AFTER;
+        self.node.tick(now);
+        self.restate();
+        let mut actions = Vec::new();
+        self.decide(|flows, around| flows.tick(around, &mut actions));
         for action in actions {
             self.tell(None, &action);
             self.act(action, &mut []);
@@ -466,26 +473,22 @@
         }
     }
 
-    fn packet(&mut self, header: carry::Header, mut packet: Vec<u8>) {
-        let segment = match (self.codec.parse)(&packet) {
-            Ok(segment) => segment,
+    fn parse(&self, packet: &[u8]) -> Option<segment::Segment> {
+        match (self.codec.parse)(packet) {
+            Ok(segment) => Some(segment),
             Err(error) => {
                 self.tally.unread();
                 debug!(error:% = error; "packet cannot be read");
-                return;
+                None
             }
+        }
+    }
+
+    fn packet(&mut self, header: carry::Header, mut packet: Vec<u8>) {
+        let Some(segment) = self.parse(&packet) else {
+            return;
         };
-        self.rank();
-        let accepts = self.accepts();
-        let mut around = owner::Around {
-            accepts,
-            complete: self.complete,
-            chains: &mut self.chains,
-            roster: self.node.roster(),
-            seed: self.seed,
-            now: self.clock.now(),
-        };
-        let action = self.flows.inbound(&mut around, header, &segment, &packet);
+        let action = self.decide(|flows, around| flows.inbound(around, header, &segment, &packet));
         self.tell(Some(segment.inbound()), &action);
         self.act(action, &mut packet);
     }
@@ -499,25 +502,10 @@
     }
 
     fn answer(&mut self, mut packet: Vec<u8>) {
-        let segment = match (self.codec.parse)(&packet) {
-            Ok(segment) => segment,
-            Err(error) => {
-                self.tally.unread();
-                debug!(error:% = error; "upstream's packet cannot be read");
-                return;
-            }
-        };
-        self.rank();
-        let accepts = self.accepts();
-        let mut around = owner::Around {
-            accepts,
-            complete: self.complete,
-            chains: &mut self.chains,
-            roster: self.node.roster(),
-            seed: self.seed,
-            now: self.clock.now(),
+        let Some(segment) = self.parse(&packet) else {
+            return;
         };
-        let action = self.flows.outbound(&mut around, &segment);
+        let action = self.decide(|flows, around| flows.outbound(around, &segment));
         if action == owner::Action::Answer {
             self.send_to_caller(*segment.to.ip(), &packet);
         } else {
--- a/src/carry.rs
+++ b/src/carry.rs
@@ -8,7 +8,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{clock::Millis, header::Hop, ident, packet::Flow, roster};
+use crate::{
+    clock::Millis,
+    header::{self, Hop},
+    ident,
+    packet::Flow,
+    roster,
+};
 
 /// The version that this code writes and reads.
 pub const VERSION: u8 = 1;
@@ -25,17 +31,12 @@
 /// Bytes of configuration in one page.
 pub const PAGE_LEN: usize = 1_000;
 
-const LEN_BYTES: usize = 2;
-
 /// Why a datagram has no readable header.
 #[derive(Debug, Error)]
 pub enum Error {
-    /// The datagram ends within the header.
-    #[error("datagram ends within its header")]
-    Short,
-    /// The header is not `MessagePack` of this shape.
-    #[error("header cannot be read")]
-    Codec(#[from] rmp_serde::decode::Error),
+    /// The header cannot be read.
+    #[error(transparent)]
+    Header(#[from] header::Error),
     /// Written by a version that this code does not know.
     #[error("header is of version {0}")]
     Version(u8),
@@ -139,25 +140,9 @@
     },
 }
 
-/// Writes the body of a `Packet` datagram up to the packet itself.
-///
-/// # Panics
-///
-/// Never: the header holds plain values, and its size has a bound.
-pub fn encode(header: &Header, out: &mut Vec<u8>) {
-    out.clear();
-    out.extend_from_slice(&[0; LEN_BYTES]);
-    rmp_serde::encode::write(out, header).expect("plain values can be written");
-    let len = u16::try_from(out.len() - LEN_BYTES).expect("the number of stops has a bound");
-    out[..LEN_BYTES].copy_from_slice(&len.to_be_bytes());
-}
-
 /// Splits the body of a `Packet` datagram into header and packet.
 pub fn decode(body: &[u8]) -> Result<(Header, &[u8]), Error> {
-    let (len, rest) = body.split_at_checked(LEN_BYTES).ok_or(Error::Short)?;
-    let len = usize::from(u16::from_be_bytes([len[0], len[1]]));
-    let (head, packet) = rest.split_at_checked(len).ok_or(Error::Short)?;
-    let header: Header = rmp_serde::from_slice(head)?;
+    let (header, packet): (Header, _) = header::split(body)?;
     if header.version != VERSION {
         return Err(Error::Version(header.version));
     }
--- a/src/header.rs
+++ b/src/header.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddrV4;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use thiserror::Error;
 
 use crate::ident;
@@ -68,20 +68,17 @@
 /// # Panics
 ///
 /// Never: the header holds plain values, and its size has a bound.
-pub fn encode(header: &Header, out: &mut Vec<u8>) {
+pub fn encode<T: Serialize>(header: &T, out: &mut Vec<u8>) {
     out.clear();
     out.extend_from_slice(&[0; LEN_BYTES]);
     rmp_serde::encode::write(out, header).expect("plain values can be written");
-    let len = u16::try_from(out.len() - LEN_BYTES).expect("the chain has a bound");
+    let len = u16::try_from(out.len() - LEN_BYTES).expect("the header has a bound");
     out[..LEN_BYTES].copy_from_slice(&len.to_be_bytes());
 }
 
 /// Splits the body of a `Packet` datagram into header and packet.
 pub fn decode(body: &[u8]) -> Result<(Header, &[u8]), Error> {
-    let (len, rest) = body.split_at_checked(LEN_BYTES).ok_or(Error::Short)?;
-    let len = usize::from(u16::from_be_bytes([len[0], len[1]]));
-    let (head, packet) = rest.split_at_checked(len).ok_or(Error::Short)?;
-    let header: Header = rmp_serde::from_slice(head)?;
+    let (header, packet): (Header, _) = split(body)?;
     if header.version != VERSION {
         return Err(Error::Version(header.version));
     }
@@ -90,3 +87,11 @@
     }
     Ok((header, packet))
 }
+
+/// Splits the body of a `Packet` datagram into a header of any kind and the packet.
+pub fn split<T: DeserializeOwned>(body: &[u8]) -> Result<(T, &[u8]), Error> {
+    let (len, rest) = body.split_at_checked(LEN_BYTES).ok_or(Error::Short)?;
+    let len = usize::from(u16::from_be_bytes([len[0], len[1]]));
+    let (head, packet) = rest.split_at_checked(len).ok_or(Error::Short)?;
+    Ok((rmp_serde::from_slice(head)?, packet))
+}
--- a/src/post.rs
+++ b/src/post.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 
-use crate::{carry, seal, udp};
+use crate::{carry, header, seal, udp};
 
 /// Bytes of the longest datagram that is read.
 pub const MAX_LEN: usize = 2_048;
@@ -93,7 +93,7 @@
         let Some(stop) = header.stops.first() else {
             return;
         };
-        carry::encode(header, &mut self.head);
+        header::encode(header, &mut self.head);
         self.sealer
             .seal(seal::Kind::Packet, &[&self.head, packet], &mut self.sealed);
         let sent = socket.try_send_to(&self.sealed, SocketAddr::V4(stop.hop.addr));
--- a/tests/carry.rs
+++ b/tests/carry.rs
@@ -5,7 +5,7 @@
 use cassiacross::{
     carry::{self, Error, Header, Message, Mode, Stop},
     clock::Millis,
-    header::Hop,
+    header::{self, Hop},
     ident::{DomainId, Incarnation, NodeId, ServiceId},
     post,
 };
@@ -37,7 +37,7 @@
 
 fn encoded(header: &Header, packet: &[u8]) -> Vec<u8> {
     let mut out = Vec::new();
-    carry::encode(header, &mut out);
+    header::encode(header, &mut out);
     out.extend_from_slice(packet);
     out
 }
