--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -19,7 +19,11 @@
 };
 
 use cassiacross::clock;
-use platform_standins::{Site, store::Store, upstream};
+use platform_standins::{
+    Site,
+    store::{self, Store},
+    upstream,
+};
 use serde_json::{Value, json};
 
 /// Balancers' machines.
@@ -35,6 +39,9 @@
 const FIRST_NET: u64 = 100;
 const NETS: u64 = 100;
 
+/// Target of the routes, in milliseconds.
+const TARGET_MS: u64 = 1_000;
+
 /// Violations that are printed.
 const SHOWN: usize = 20;
 
@@ -154,17 +161,9 @@
 
 /// The operator's configuration: the route that is always there, and one that comes and goes.
 fn config(version: u64, second: bool) -> Value {
-    let route = |name: &str, port: u16| {
-        json!({"Name": name, "Host": "198.18.0.1", "PathPrefix": format!("/{port}/"),
-            "RouteType": "safe", "TimeoutMs": 4000, "TargetLatencyMs": 1000, "Priority": 2,
-            "Service": "ledger"})
-    };
-    let mut routes = vec![route("always", work::ALWAYS.port())];
-    if second {
-        routes.push(route("sometimes", work::SOMETIMES.port()));
-    }
-    json!({"Version": version, "Routes": routes, "Services": [],
-        "Limits": {"IdleTimeoutMs": 60000}})
+    let ports = [work::ALWAYS.port(), work::SOMETIMES.port()];
+    let count = if second { 2 } else { 1 };
+    store::config(version, TARGET_MS, &ports[..count])
 }
 
 fn report(world: &World, options: Options, violations: &[String]) -> bool {
