Speak the platform's store protocol everywhere, through one client

Cause: the product's daemons still called an object API that this project had made up, with a client and a stand-in of its own beside the adapter's, so a daemon could not run against the platform's store at all.

Change: `platform/store` is the one client (lists in pages, conditions, watches, removals, 410, 429 and 503 apart from failures); the library builds on it, the adapter's calls are a thin layer over it, `src/platform.rs` and `follow::Error` are gone. `platform/standins` has the one store stand-in, with finalizers, pages, stale reads, 429, late and lost answers; the made-up API's stand-in is removed. A change whose write is turned away with 503 or 429 is no longer said to be undecided, since the store did nothing.

Failing first: `writes_always_turned_away_are_said_as_not_written` gave Undecided with the arm for Busy taken out.

Ruled out: keeping the client in `platform/` proper, as the library cannot depend on the crate that depends on it.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -197,7 +197,7 @@
     }
 
     async fn read(&self, name: &str) -> reply::Reply {
-        match self.parts.client.get(platform::RECORDS, name).await {
+        match self.parts.client.get(change::RECORDS, name).await {
             Ok(Some(object)) => {
                 let document = change::record(&object.value);
                 reply::Reply::found(name, object.version, document, reply::Source::Platform)
@@ -241,7 +241,7 @@
         if !matches!(outcome, change::Outcome::Accepted(_)) {
             return;
         }
-        let object = self.parts.client.get(platform::RECORDS, name).await;
+        let object = self.parts.client.get(change::RECORDS, name).await;
         if let Ok(Some(object)) = object {
             let name = name.to_owned();
             (self.parts.apply)(&platform::Object { name, ..object });
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -14,7 +14,7 @@
 
 use anyhow::Context;
 use cassiacross::{
-    admin, balancer, clock, gossip, ident, member, membership, platform, settings, udp,
+    admin, balancer, change, clock, gossip, ident, member, membership, platform, settings, udp,
 };
 use serde::Serialize;
 use tokio::{
@@ -95,7 +95,7 @@
         peers.clone(),
         period / rounds,
     ));
-    let client = platform::Client::new(&settings.platform)?;
+    let client = platform::Client::new(&settings.platform, change::CALL_LIMIT.to_duration())?;
     let admin = configuration::admin(&shared, settings, client.clone());
     tokio::spawn(serve_http(http, shared.clone(), admin));
     let me = shared.balancer().tables().own().clone();
--- a/src/bin/cassiacross-balancer/configuration.rs
+++ b/src/bin/cassiacross-balancer/configuration.rs
@@ -17,7 +17,7 @@
 
 /// Follows the platform's records for as long as this balancer is a watcher.
 pub(crate) async fn follow(shared: shared::Shared, client: platform::Client, period: Duration) {
-    let mut watch = watch::Watch::new(client, platform::RECORDS, watch::RELIST, rand::random());
+    let mut watch = watch::Watch::new(client, change::RECORDS, watch::RELIST, rand::random());
     loop {
         if shared.is_configured() && !is_watcher(&shared) {
             time::sleep(period).await;
@@ -119,8 +119,13 @@
 
 /// Addresses of balancers that the platform knows of; empty while it is down.
 pub(crate) async fn seeds(client: &platform::Client) -> Vec<SocketAddrV4> {
-    let Ok(listing) = client.list(platform::BALANCERS).await else {
-        return Vec::new();
+    let listing = client.list(member::BALANCERS, platform::Age::Current);
+    let listing = match listing.await {
+        Ok(listing) => listing,
+        Err(error) => {
+            log::warn!(error:% = error; "the platform's balancers cannot be read");
+            return Vec::new();
+        }
     };
     let addresses = listing
         .items
@@ -144,21 +149,19 @@
 }
 
 async fn put(client: &platform::Client, me: &member::Balancer) -> Result<(), platform::Error> {
-    let old = client.get(platform::BALANCERS, &me.name).await?;
+    let old = client.get(member::BALANCERS, &me.name).await?;
     let guard = platform::Object::guard(old.as_ref());
     let value = json!({ "http": me.http.to_string(), "domain": me.domain });
     client
-        .put(platform::BALANCERS, &me.name, guard, &value)
+        .put(member::BALANCERS, &me.name, guard, &value)
         .await?;
     Ok(())
 }
 
 /// Removes this balancer's object; a failure leaves one address that does not answer.
 pub(crate) async fn unregister(client: &platform::Client, name: &str) {
-    if let Ok(Some(object)) = client.get(platform::BALANCERS, name).await
-        && let Err(error) = client
-            .delete(platform::BALANCERS, name, object.version)
-            .await
+    if let Ok(Some(object)) = client.get(member::BALANCERS, name).await
+        && let Err(error) = client.delete(member::BALANCERS, name, object.version).await
     {
         log::warn!(error:% = error; "this balancer stays registered with the platform");
     }
--- a/src/change.rs
+++ b/src/change.rs
@@ -9,7 +9,13 @@
 use serde_json::{Map, Value};
 use thiserror::Error;
 
-use crate::{backoff, platform, record};
+use crate::{backoff, clock, platform, record};
+
+/// Kind of the objects that hold records.
+pub const RECORDS: &str = "cassiacross-records";
+
+/// Limit of one call to the platform, on top of the time that a watch waits.
+pub const CALL_LIMIT: clock::Millis = clock::Millis(2_000);
 
 /// Change ids that an object keeps.
 pub const MAX_CHANGES: usize = 16;
@@ -209,7 +215,7 @@
     name: &str,
     id: &str,
 ) -> Result<Outcome, platform::Error> {
-    let object = client.get(platform::RECORDS, name).await?;
+    let object = client.get(RECORDS, name).await?;
     Ok(match object {
         Some(object) if contains(Some(&object), id) => Outcome::Accepted(object.version),
         _ => Outcome::Undecided,
@@ -240,7 +246,7 @@
     edit: &impl Fn(Option<&Value>) -> Result<Value, E>,
     lost: &mut Option<Attempt>,
 ) -> Result<Round, Error<E>> {
-    let object = match client.get(platform::RECORDS, request.name).await {
+    let object = match client.get(RECORDS, request.name).await {
         Ok(object) => object,
         Err(error) => return Ok(Round::Failed(error)),
     };
@@ -255,14 +261,16 @@
     let before = object.as_ref().map(|object| &object.value);
     let edited = edit(before.map(record)).map_err(Error::Edit)?;
     let value = stored(before, request.id, edited);
-    let put = client.put(platform::RECORDS, request.name, attempt.guard, &value);
+    let put = client.put(RECORDS, request.name, attempt.guard, &value);
     Ok(match put.await {
         Ok(version) => Round::End(Outcome::Accepted(version)),
-        Err(platform::Error::Changed) => Round::Raced(object.map_or(0, |object| object.version)),
+        Err(platform::Error::Changed(_)) => Round::Raced(object.map_or(0, |object| object.version)),
         Err(error @ platform::Error::Refused(_)) if lost.is_none() => {
             return Err(Error::Unavailable(error));
         }
-        Err(error @ platform::Error::Refused(_)) => Round::Failed(error),
+        Err(error @ (platform::Error::Refused(_) | platform::Error::Busy(_))) => {
+            Round::Failed(error)
+        }
         Err(error) => {
             *lost = Some(attempt);
             Round::Failed(error)
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -6,10 +6,15 @@
 use std::net::SocketAddrV4;
 
 use log::{debug, warn};
-use thiserror::Error;
 use tokio::{sync::mpsc, time};
 
-use crate::{backoff, clock::Millis, entry::Event, passage};
+use crate::{
+    backoff,
+    clock::Millis,
+    entry::Event,
+    passage,
+    platform::{Age, Error},
+};
 
 /// Time that one watch waits for a change; a connection that fell silent is
 /// noticed soon after it.
@@ -18,23 +23,6 @@
 /// Time between two reads of the balancers' addresses, which may be seconds old.
 const PEERS_PERIOD: Millis = Millis(15_000);
 
-/// Why a call gave nothing usable.
-#[derive(Debug, Error)]
-pub enum Error {
-    /// The platform no longer has the changes since the revision.
-    #[error("the platform has forgotten the changes since the revision")]
-    Forgotten,
-    /// The platform refused or failed.
-    #[error("the platform answered with status {0}")]
-    Status(u16),
-    /// No whole answer came in time.
-    #[error("no answer from the platform: {0}")]
-    Lost(String),
-    /// The answer could not be read.
-    #[error("the platform's answer cannot be read: {0}")]
-    Unreadable(String),
-}
-
 /// The configuration as of one revision of the platform.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -59,8 +47,8 @@
         address: SocketAddrV4,
     ) -> impl Future<Output = Result<(), Error>>;
 
-    /// Reads all balancers' addresses; `stale` where they may be seconds old.
-    fn peers(&self, stale: bool) -> impl Future<Output = Result<Vec<SocketAddrV4>, Error>>;
+    /// Reads all balancers' addresses.
+    fn peers(&self, age: Age) -> impl Future<Output = Result<Vec<SocketAddrV4>, Error>>;
 }
 
 /// Hands each configuration to the loop, until the loop is gone.
@@ -122,14 +110,14 @@
 /// Hands the balancers' addresses on, at once and then now and then.
 pub async fn peers(calls: &impl Calls, seed: u64, hand: impl AsyncFn(Vec<SocketAddrV4>) -> bool) {
     let mut backoff = backoff::Backoff::new(seed, u32::MAX);
-    let mut stale = false;
+    let mut age = Age::Current;
     loop {
-        match calls.peers(stale).await {
+        match calls.peers(age).await {
             Ok(addresses) => {
                 if !hand(addresses).await {
                     return;
                 }
-                stale = true;
+                age = Age::Stale;
                 backoff.reset(u32::MAX);
                 time::sleep(PEERS_PERIOD.to_duration()).await;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,7 +44,6 @@
 pub mod owner;
 pub mod packet;
 pub mod passage;
-pub mod platform;
 pub mod post;
 pub mod queue;
 pub mod record;
@@ -66,3 +65,5 @@
 pub mod version;
 pub mod views;
 pub mod watch;
+
+pub use platform_store as platform;
--- a/src/member.rs
+++ b/src/member.rs
@@ -6,6 +6,9 @@
 
 use crate::{header, ident};
 
+/// Kind of the platform's objects through which balancers find each other.
+pub const BALANCERS: &str = "cassiacross-balancers";
+
 /// Steps that double the capacity.
 pub const STEPS_PER_DOUBLING: f64 = 12.0;
 
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -101,13 +101,14 @@
             self.relist
         };
         let Some(after) = self.after.filter(|_| age < relist) else {
-            let listing = self.client.list(self.kind).await?;
+            let listing = self.client.list(self.kind, platform::Age::Current).await?;
             self.listed = now;
             self.missed = false;
             return Ok(Some(self.take(listing)));
         };
         let wait = WAIT.min(relist.since(age));
-        let listing = self.client.watch(self.kind, after, wait).await?;
+        let heard = self.client.watch(self.kind, after, wait.to_duration());
+        let listing = heard.await?;
         if listing.revision < after {
             self.after = None;
             return Ok(None);
--- a/standins/src/bin/standin/platform.rs
+++ b/standins/src/bin/standin/platform.rs
@@ -5,8 +5,8 @@
     net::{Ipv4Addr, SocketAddr},
 };
 
+use platform_standins::store;
 use serde_json::json;
-use standins::platform;
 use tokio::net;
 
 use crate::app;
@@ -15,7 +15,7 @@
     use std::net::SocketAddr;
 
     xflags::xflags! {
-        /// Keeps objects with versions, conditional updates and watches.
+        /// Keeps objects with revisions, conditional writes and watches.
         cmd platform {
             /// Where HTTP calls arrive.
             optional --http http: SocketAddr
@@ -30,7 +30,7 @@
     let listener = net::TcpListener::bind(flags.http.unwrap_or(any)).await?;
     app::tell(&json!({ "http": listener.local_addr()? }))?;
     tokio::select! {
-        result = platform::serve(listener) => match result? {},
+        result = store::serve(listener) => match result? {},
         stopped = app::stopped() => stopped,
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod history;
 pub mod host;
 pub mod load;
-pub mod platform;
 pub mod process;
 pub mod proxy;
 pub mod register;
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -104,7 +104,7 @@
 
 /// A platform without records, for the rest of the process.
 fn platform() -> SocketAddrV4 {
-    child::serve(standins::platform::serve)
+    child::serve(platform_standins::store::serve)
 }
 
 fn settings(name: &str, seeds: &[SocketAddrV4], platform: SocketAddrV4) -> serde_json::Value {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -18,8 +18,9 @@
     async fn start() -> Self {
         let listener = net::TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let base = format!("http://{}", listener.local_addr().expect("address"));
-        tokio::spawn(standins::platform::serve(listener));
-        let client = platform::Client::new(&base).expect("client");
+        tokio::spawn(platform_standins::store::serve(listener));
+        let client =
+            platform::Client::new(&base, change::CALL_LIMIT.to_duration()).expect("client");
         Self { base, client }
     }
 
@@ -51,12 +52,12 @@
     }
 
     async fn stored(&self) -> platform::Object {
-        let object = self.client.get(platform::RECORDS, "ledger").await;
+        let object = self.client.get(change::RECORDS, "ledger").await;
         object.expect("platform is there").expect("record is there")
     }
 
     fn watch(&self, relist: clock::Millis) -> watch::Watch {
-        watch::Watch::new(self.client.clone(), platform::RECORDS, relist, 1)
+        watch::Watch::new(self.client.clone(), change::RECORDS, relist, 1)
     }
 }
 
@@ -69,6 +70,7 @@
         name: String::new(),
         version,
         value: json!({"changes": ids, "record": document(version)}),
+        leaving: false,
     }
 }
 
@@ -170,7 +172,7 @@
             "{outcome:?}"
         );
     }
-    time::sleep(2 * standins::platform::LATE).await;
+    time::sleep(2 * platform_standins::store::LATE).await;
     let stored = fixture.stored().await;
     let mut kept: Vec<_> = change::ids(&stored.value).collect();
     kept.sort_unstable();
@@ -181,7 +183,7 @@
 #[tokio::test]
 async fn platform_too_slow_is_said_as_not_written() {
     let fixture = Fixture::start().await;
-    let slow = platform::TIMEOUT.0 * 2;
+    let slow = change::CALL_LIMIT.0 * 2;
     fixture.faults(json!({"slow_ms": slow})).await;
     let request = change::Request {
         name: "ledger",
@@ -240,6 +242,27 @@
     assert_eq!(again, change::Outcome::Accepted(1));
 }
 
+#[tokio::test]
+async fn write_turned_away_is_tried_again() {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"refuse_writes": 2})).await;
+    let outcome = fixture.change("ledger~1", change::Expect::Absent, 80).await;
+    assert_eq!(outcome, change::Outcome::Accepted(1));
+}
+
+#[tokio::test]
+async fn writes_always_turned_away_are_said_as_not_written() {
+    let fixture = Fixture::start().await;
+    fixture.faults(json!({"refuse_writes": 100})).await;
+    let outcome = fixture
+        .try_change("ledger~1", change::Expect::Absent, 80)
+        .await;
+    assert!(
+        matches!(outcome, Err(change::Error::Unavailable(_))),
+        "{outcome:?}"
+    );
+}
+
 #[tokio::test]
 async fn racing_operators_have_one_winner() {
     let fixture = Fixture::start().await;
--- a/tests/proof_config.rs
+++ b/tests/proof_config.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use cassiacross::{admin, backoff, change, clock, platform};
+use cassiacross::{admin, backoff, change, clock, member, platform};
 use serde_json::{Value, json};
 use standins::{
     deployment::{self, Deployment},
@@ -153,7 +153,7 @@
     }
 
     async fn until_registered(&self, count: usize) {
-        let path = format!("/objects/{}", platform::BALANCERS);
+        let path = format!("/api/objects/{}", member::BALANCERS);
         wait::until("registration of balancers", wait::LIMIT, async || {
             let listed = self.fleet.client.get(self.fleet.platform, &path).await;
             listed.is_ok_and(|listed| listed["items"].as_array().map(Vec::len) == Some(count))
@@ -241,7 +241,10 @@
 
     /// Writes to the platform past the fleet, as through a balancer that then died.
     async fn write_past(&mut self, expected: u64, id: &str) -> u64 {
-        let client = platform::Client::new(&format!("http://{}", self.fleet.platform));
+        let client = platform::Client::new(
+            &format!("http://{}", self.fleet.platform),
+            change::CALL_LIMIT.to_duration(),
+        );
         let client = client.expect("client");
         let request = change::Request {
             name: RECORD,
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -35,7 +35,7 @@
     async fn start(balancers: usize) -> Self {
         let listener = bind().await;
         let platform = format!("http://{}", address(&listener));
-        tokio::spawn(standins::platform::serve(listener));
+        tokio::spawn(platform_standins::store::serve(listener));
         let mut fixture = Self {
             dir: tempfile::tempdir().expect("directory"),
             platform,
@@ -64,8 +64,9 @@
     }
 
     async fn stored(&self) -> platform::Object {
-        let client = platform::Client::new(&self.platform).expect("client");
-        let object = client.get(platform::RECORDS, "ledger").await;
+        let client = platform::Client::new(&self.platform, change::CALL_LIMIT.to_duration())
+            .expect("client");
+        let object = client.get(change::RECORDS, "ledger").await;
         object.expect("platform is there").expect("record is there")
     }
 
@@ -116,7 +117,7 @@
         name: format!("balancer-{index}"),
         domain: "valley-a".to_owned(),
         token: TOKEN.to_owned(),
-        client: platform::Client::new(platform).expect("client"),
+        client: platform::Client::new(platform, change::CALL_LIMIT.to_duration()).expect("client"),
         table: Box::new(move || Arc::new(read.lock().expect("table").clone())),
         apply: Box::new(move |object| {
             let document = change::record(&object.value);
