Run the platform's roles as tasks of the runtime

Cause: traced system calls of an agent show that each timer and each event from another task made the process write to its own event descriptor and wake once more. The runtime does so for the future that it blocks on; the roles ran in it, inside a local set.

Ruled out: the timer itself (one wake-up a round remains).

Change: the role is a task, the runtime blocks only on its end; `follow::peers` hands addresses on as an event, like `follow::config`, as a task must be able to move.

No test of its own: behaviour is the same, and the bound of `a_datagram_that_left_wakes_nobody` holds for tasks already. docs/PLATFORM.md says where the rest goes (profile under a steady load of small packets, a trial with a scratch program).

--- a/src/follow.rs
+++ b/src/follow.rs
@@ -107,14 +107,20 @@
     }
 }
 
-/// Hands the balancers' addresses on, at once and then now and then.
-pub async fn peers(calls: &impl Calls, seed: u64, hand: impl AsyncFn(Vec<SocketAddrV4>) -> bool) {
+/// Hands the balancers' addresses to the loop as an event, at once and then now and
+/// then, until the loop is gone.
+pub async fn peers<E>(
+    calls: &impl Calls,
+    seed: u64,
+    events: mpsc::Sender<E>,
+    event: fn(Vec<SocketAddrV4>) -> E,
+) {
     let mut backoff = backoff::Backoff::new(seed, u32::MAX);
     let mut age = Age::Current;
     loop {
         match calls.peers(age).await {
             Ok(addresses) => {
-                if !hand(addresses).await {
+                if events.send(event(addresses)).await.is_err() {
                     return;
                 }
                 age = Age::Stale;
