Let two balancers of each failure domain follow the store

Cause: store calls grew with nodes.

Ruled out: longer waits between retries, as they delay the return after a loss of all machines.

Change: a balancer states whether the store answers it. The first two of a failure domain by rendezvous hashing, and two of those that the store answers, follow the configuration; so do balancers without one, and those that lack for a second a version that peers have. The others pull versions from peers, as before. Addresses are asked for on and on only by nodes that hear of nobody. Resets for unknown routes go out while the store answers any balancer.

Failing first: tests/follow and tests/roster (watchers, deaf ones, addresses); on the state before, each node watched and asked every 15 s and at each failure.

--- a/src/beside.rs
+++ b/src/beside.rs
@@ -11,14 +11,14 @@
 use serde::Serialize;
 use tokio::{
     net::TcpStream,
-    sync::{mpsc, oneshot},
+    sync::{self, mpsc, oneshot},
     time,
 };
 
 use crate::{
     carry, chains,
     clock::{self, Millis},
-    entry, header, held, ident, member, node, owner,
+    entry, follow, header, held, ident, member, node, owner,
     packet::Flow,
     post, roster, segment, socket, status, tally,
 };
@@ -126,6 +126,7 @@
     settings: Settings,
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
+    duty: sync::watch::Sender<follow::Duty>,
     tally: tally::Tally,
 ) -> anyhow::Result<()> {
     let (probes, mut outcomes) = mpsc::channel(4);
@@ -156,7 +157,10 @@
                 None => {}
             },
             Some(listens) = outcomes.recv() => state.probed(listens),
-            _ = ticker.tick() => state.tick(),
+            _ = ticker.tick() => {
+                state.tick();
+                follow::assign(&duty, state.node.duty(state.clock.now()));
+            }
         }
         state.flush();
         let now = state.clock.now();
@@ -212,6 +216,7 @@
         domain: ident::DomainId::of(&settings.domain),
         control: settings.packets,
         leaving: false,
+        deaf: true,
         upstream: Some(roster::Upstream {
             service,
             packets: settings.packets,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,11 +13,11 @@
 use log::{debug, info};
 use serde::Serialize;
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{self, mpsc, oneshot},
     time,
 };
 
-use crate::{clock, ident, node, passage, post, roster, segment, socket, tally};
+use crate::{clock, follow, ident, node, passage, post, roster, segment, socket, tally};
 
 /// Fifths of the grace time for which a process that is to stop goes on: long enough
 /// for the fabric to turn away, short enough to end by itself on a slow host.
@@ -65,7 +65,7 @@
 struct Dump<'a> {
     now: clock::Millis,
     ready: bool,
-    platform: bool,
+    hears_platform: bool,
     roster: &'a roster::Roster,
     config: Option<&'a passage::Config>,
     unsent: u64,
@@ -80,7 +80,6 @@
     seed: u64,
     node: node::Node,
     tables: passage::Tables,
-    platform: bool,
     tally: tally::Tally,
     clock: clock::Clock,
 }
@@ -98,6 +97,7 @@
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
     ready: Arc<AtomicBool>,
+    duty: sync::watch::Sender<follow::Duty>,
     tally: tally::Tally,
 ) -> anyhow::Result<()> {
     let mut state = start(&settings, codec, tally)?;
@@ -125,7 +125,11 @@
                 Some(event) => state.event(event),
                 None => {}
             },
-            _ = ticker.tick() => state.node.tick(state.clock.now()),
+            _ = ticker.tick() => {
+                let now = state.clock.now();
+                state.node.tick(now);
+                follow::assign(&duty, state.node.duty(now));
+            }
         }
         state.flush();
         ready.store(stop_at.is_none() && state.is_ready(), Ordering::Relaxed);
@@ -148,6 +152,7 @@
         domain: ident::DomainId::of(&settings.domain),
         control: settings.control,
         leaving: false,
+        deaf: true,
         upstream: None,
     };
     let seed = me.incarnation.0;
@@ -160,7 +165,6 @@
         post,
         node: node::Node::new(me, settings.seeds.clone(), seed, clock.now()),
         tables: passage::Tables::default(),
-        platform: false,
         tally,
         clock,
     })
@@ -179,16 +183,21 @@
                 self.node.configure(config);
             }
             Event::Peers(addresses) => self.node.introduce(addresses),
-            Event::Platform(answers) if answers != self.platform => {
-                info!(answers = answers; "platform");
-                self.platform = answers;
-            }
+            Event::Platform(answers) => self.hear(answers),
             Event::Dump(to) => {
                 if to.send(self.dump()).is_err() {
                     debug!("nobody waits for the dump any more");
                 }
             }
-            Event::Platform(_) | Event::Stop => {}
+            Event::Stop => {}
+        }
+    }
+
+    /// Notes whether the platform answers.
+    fn hear(&mut self, answers: bool) {
+        if self.node.roster().me().deaf == answers {
+            info!(answers = answers; "platform");
+            self.node.update(|me| me.deaf = !answers);
         }
     }
 
@@ -196,7 +205,7 @@
         let dump = Dump {
             now: self.clock.now(),
             ready: self.is_ready(),
-            platform: self.platform,
+            hears_platform: self.node.roster().hears_platform(),
             roster: self.node.roster(),
             config: self.node.config(),
             unsent: self.post.unsent(),
@@ -213,12 +222,12 @@
             seed,
             node,
             tables,
-            platform,
             tally,
             clock,
             ..
         } = self;
         let now = clock.now();
+        let hears = node.roster().hears_platform();
         tables.refresh(node.roster());
         packets.drain(|bytes, _from| {
             let segment = match (codec.parse)(bytes) {
@@ -233,7 +242,7 @@
                 Ok(header) => post.packet(packets, &header, bytes),
                 Err(refusal) => {
                     let flow = segment.inbound();
-                    let told = refusal == passage::Refusal::Route && *platform && !segment.reset;
+                    let told = refusal == passage::Refusal::Route && hears && !segment.reset;
                     if told {
                         let reset = (codec.reset)(&flow, segment.ack);
                         post.plain(packets, SocketAddrV4::new(*flow.caller.ip(), *port), &reset);
--- a/src/follow.rs
+++ b/src/follow.rs
@@ -6,7 +6,10 @@
 use std::net::SocketAddrV4;
 
 use log::{debug, warn};
-use tokio::{sync::mpsc, time};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
 
 use crate::{
     backoff,
@@ -20,9 +23,30 @@
 /// noticed soon after it.
 pub const WAIT: Millis = Millis(5_000);
 
-/// Time between two reads of the balancers' addresses, which may be seconds old.
+/// Time between two reads of the balancers' addresses for a node that hears of others.
 const PEERS_PERIOD: Millis = Millis(15_000);
 
+/// Time for which a node that hears of nobody waits for those that it called.
+const CALLED: Millis = Millis(500);
+
+/// What a process has to ask the platform for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Duty {
+    /// The configuration: the process is among those that follow it, or lacks it.
+    pub config: bool,
+    /// Other balancers' addresses without delay: the process hears of nobody.
+    pub alone: bool,
+}
+
+impl Default for Duty {
+    fn default() -> Self {
+        Self {
+            config: true,
+            alone: true,
+        }
+    }
+}
+
 /// The configuration as of one revision of the platform.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -51,11 +75,22 @@
     fn peers(&self, age: Age) -> impl Future<Output = Result<Vec<SocketAddrV4>, Error>>;
 }
 
-/// Hands each configuration to the loop, until the loop is gone.
-pub async fn config(calls: &impl Calls, seed: u64, events: mpsc::Sender<Event>) {
+/// Tells the calls of a change of duty.
+pub fn assign(duty: &watch::Sender<Duty>, now: Duty) {
+    duty.send_if_modified(|last| std::mem::replace(last, now) != now);
+}
+
+/// Hands each configuration to the loop while it is this process's duty, until the
+/// loop is gone.
+pub async fn config(
+    calls: &impl Calls,
+    seed: u64,
+    events: mpsc::Sender<Event>,
+    mut duty: watch::Receiver<Duty>,
+) {
     let mut backoff = backoff::Backoff::new(seed, u32::MAX);
     let mut after = None;
-    loop {
+    while duty.wait_for(|duty| duty.config).await.is_ok() {
         let result = match after {
             None => calls.read().await,
             Some(revision) => calls.wait(revision, WAIT).await,
@@ -109,29 +144,39 @@
 
 /// Hands the balancers' addresses to the loop as an event, at once and then now and
 /// then, until the loop is gone.
+///
+/// A node that hears of others asks rarely and takes old answers; one that hears of
+/// nobody goes on asking.
 pub async fn peers<E>(
     calls: &impl Calls,
     seed: u64,
     events: mpsc::Sender<E>,
     event: fn(Vec<SocketAddrV4>) -> E,
+    mut duty: watch::Receiver<Duty>,
 ) {
     let mut backoff = backoff::Backoff::new(seed, u32::MAX);
-    let mut age = Age::Current;
+    let mut age = Age::Stale;
     loop {
-        match calls.peers(age).await {
+        let wait = match calls.peers(age).await {
             Ok(addresses) => {
                 if events.send(event(addresses)).await.is_err() {
                     return;
                 }
-                age = Age::Stale;
                 backoff.reset(u32::MAX);
-                time::sleep(PEERS_PERIOD.to_duration()).await;
+                CALLED
             }
             Err(error) => {
                 let wait = backoff.next_wait().unwrap_or(backoff::CAP);
                 warn!(wait_ms = wait.0, error:% = error; "balancers' addresses were not read");
-                time::sleep(wait.to_duration()).await;
+                wait
             }
-        }
+        };
+        time::sleep(wait.to_duration()).await;
+        let lost = duty.wait_for(|duty| duty.alone);
+        age = match time::timeout(PEERS_PERIOD.to_duration(), lost).await {
+            Ok(Ok(_)) => Age::Current,
+            Ok(Err(_closed)) => return,
+            Err(_elapsed) => Age::Stale,
+        };
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 use crate::{
     carry::{Beat, MAX_ENTRIES, Message, PAGE_LEN},
     clock::Millis,
-    passage, roster,
+    follow, passage, roster,
 };
 
 /// Time between two statements to addresses that nothing was heard from.
@@ -22,6 +22,10 @@
 /// Time after which a wanted configuration is asked for again.
 const WANT_PERIOD: Millis = Millis(300);
 
+/// Time for which a version that peers have may be missing here before the platform
+/// is asked for it.
+const BEHIND: Millis = Millis(1_000);
+
 /// The most pages that a configuration may have.
 const MAX_PAGES: u16 = 1_024;
 
@@ -44,6 +48,7 @@
     stated_agents: Option<Millis>,
     assembly: Option<Assembly>,
     wanted: Option<Millis>,
+    behind: Option<Millis>,
     newest: u64,
     rng: rngs::SmallRng,
     out: Vec<(SocketAddrV4, Message)>,
@@ -64,6 +69,7 @@
             stated_agents: None,
             assembly: None,
             wanted: None,
+            behind: None,
             newest: 0,
             rng: rngs::SmallRng::seed_from_u64(seed),
             out: Vec::new(),
@@ -120,6 +126,7 @@
         self.config = Some(config);
         self.assembly = None;
         self.wanted = None;
+        self.behind = None;
         self.state_all();
         true
     }
@@ -156,9 +163,23 @@
             }
             self.state(agents);
         }
-        if self.newest > self.version() && is_due(self.wanted, WANT_PERIOD, now) {
-            self.wanted = Some(now);
-            self.want();
+        if self.newest > self.version() {
+            self.behind.get_or_insert(now);
+            if is_due(self.wanted, WANT_PERIOD, now) {
+                self.wanted = Some(now);
+                self.want();
+            }
+        }
+    }
+
+    /// What this node has to ask the platform for.
+    #[must_use]
+    pub fn duty(&self, now: Millis) -> follow::Duty {
+        let behind = self.behind.is_some_and(|since| now.since(since) >= BEHIND);
+        let is_balancer = self.roster.me().upstream.is_none();
+        follow::Duty {
+            config: is_balancer && (self.config.is_none() || behind || self.roster.is_watcher()),
+            alone: self.roster.is_alone(),
         }
     }
 
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, header::Hop, ident, member};
+use crate::{clock::Millis, header::Hop, ident, member, watch};
 
 /// Shortest time between two statements of one node.
 pub const PERIOD: Millis = Millis(400);
@@ -60,6 +60,9 @@
     pub control: SocketAddrV4,
     /// Whether the process is being stopped.
     pub leaving: bool,
+    /// Whether the platform did not answer a balancer's last call; true before the
+    /// first one, and for agents.
+    pub deaf: bool,
     /// The upstream of an agent, none for a balancer.
     pub upstream: Option<Upstream>,
 }
@@ -224,6 +227,40 @@
         rows.peek().is_some() && rows.all(|row| now.since(row.heard).0 > limit)
     }
 
+    /// Whether this balancer is among those of its failure domain that follow the
+    /// platform: the first by rendezvous hashing, and as many of those that it answers.
+    #[must_use]
+    pub fn is_watcher(&self) -> bool {
+        let own = watch::score(self.me.node);
+        let before =
+            |row: &&Row| row.entry.domain == self.me.domain && watch::score(row.entry.node) > own;
+        let all = self.balancers().filter(before).count();
+        let hearing = self
+            .balancers()
+            .filter(before)
+            .filter(|row| !row.entry.deaf);
+        all < watch::PER_DOMAIN || (!self.me.deaf && hearing.count() < watch::PER_DOMAIN)
+    }
+
+    /// Whether the platform answers this node or another balancer.
+    #[must_use]
+    pub fn hears_platform(&self) -> bool {
+        !self.me.deaf || self.balancers().any(|row| !row.entry.deaf)
+    }
+
+    /// Whether no node through which others are found states itself here: a balancer
+    /// for an agent, any other node for a balancer.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        let helps = |row: &&Row| self.me.upstream.is_none() || row.entry.upstream.is_none();
+        !self.rows.iter().filter(helps).any(is_live)
+    }
+
+    fn balancers(&self) -> impl Iterator<Item = &Row> {
+        let rows = self.rows.iter();
+        rows.filter(|row| row.entry.upstream.is_none() && is_live(row))
+    }
+
     /// A node by its identity.
     #[must_use]
     pub fn find(&self, node: ident::NodeId) -> Option<&Row> {
@@ -352,3 +389,7 @@
         }
     }
 }
+
+fn is_live(row: &Row) -> bool {
+    row.direct && !row.silent && !row.entry.leaving
+}
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -144,6 +144,8 @@
     explained < listing.revision - after
 }
 
-fn score(node: ident::NodeId) -> u64 {
+/// A balancer's rank among the watchers of its failure domain; the highest come first.
+#[must_use]
+pub fn score(node: ident::NodeId) -> u64 {
     xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), SEED)
 }
--- /dev/null
+++ b/tests/follow.rs
@@ -0,0 +1,141 @@
+//! When the platform is asked for the configuration and for balancers' addresses.
+
+use std::{cell::RefCell, net::SocketAddrV4, time::Duration};
+
+use cassiacross::{
+    clock::Millis,
+    entry::Event,
+    follow::{self, Calls, Duty, Snapshot},
+    platform::{Age, Error},
+};
+use tokio::{
+    sync::{mpsc, watch},
+    time,
+};
+use yare::parameterized;
+
+/// A platform that notes each call.
+#[derive(Default)]
+struct Platform {
+    is_down: bool,
+    calls: RefCell<Vec<String>>,
+}
+
+impl Platform {
+    fn answer<T>(&self, call: String, answer: T) -> Result<T, Error> {
+        self.calls.borrow_mut().push(call);
+        if self.is_down {
+            return Err(Error::Busy(503));
+        }
+        Ok(answer)
+    }
+
+    fn count(&self, call: &str) -> usize {
+        let calls = self.calls.borrow();
+        calls.iter().filter(|other| other.starts_with(call)).count()
+    }
+}
+
+impl Calls for Platform {
+    async fn read(&self) -> Result<Snapshot, Error> {
+        let snapshot = Snapshot {
+            revision: 7,
+            config: None,
+        };
+        self.answer("read".to_owned(), snapshot)
+    }
+
+    async fn wait(&self, after: u64, limit: Millis) -> Result<Snapshot, Error> {
+        time::sleep(limit.to_duration()).await;
+        let snapshot = Snapshot {
+            revision: after + 1,
+            config: None,
+        };
+        self.answer(format!("wait {after}"), snapshot)
+    }
+
+    async fn register(&self, _: &str, _: SocketAddrV4) -> Result<(), Error> {
+        self.answer("register".to_owned(), ())
+    }
+
+    async fn peers(&self, age: Age) -> Result<Vec<SocketAddrV4>, Error> {
+        self.answer(format!("peers {age:?}"), Vec::new())
+    }
+}
+
+const fn duty(config: bool, alone: bool) -> Duty {
+    Duty { config, alone }
+}
+
+/// Lets time pass while a future runs.
+async fn run(future: impl Future<Output = ()>, seconds: u64) {
+    let ended = time::timeout(Duration::from_secs(seconds), future).await;
+    assert!(ended.is_err(), "goes on");
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_need_not_follow_makes_no_calls() {
+    let platform = Platform::default();
+    let (events, _inbox) = mpsc::channel::<Event>(64);
+    let (_duty, duties) = watch::channel(duty(false, false));
+    run(follow::config(&platform, 1, events, duties), 60).await;
+    assert_eq!(platform.count(""), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_follows_again_goes_on_from_its_revision() {
+    let platform = Platform::default();
+    let (events, _inbox) = mpsc::channel::<Event>(64);
+    let (sender, duties) = watch::channel(duty(true, false));
+    let change = async {
+        time::sleep(Duration::from_secs(6)).await;
+        follow::assign(&sender, duty(false, false));
+        time::sleep(Duration::from_mins(1)).await;
+        follow::assign(&sender, duty(true, false));
+        time::sleep(Duration::from_secs(6)).await;
+    };
+    let both = async {
+        tokio::join!(follow::config(&platform, 1, events, duties), change);
+    };
+    run(both, 72).await;
+    assert_eq!(
+        *platform.calls.borrow(),
+        ["read", "wait 7", "wait 8", "wait 9"]
+    );
+}
+
+#[parameterized(
+    up = { false },
+    down = { true },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn addresses_are_asked_for_rarely_by_who_hears_of_others(is_down: bool) {
+    let platform = Platform {
+        is_down,
+        ..Platform::default()
+    };
+    let (events, _inbox) = mpsc::channel(64);
+    let (_duty, duties) = watch::channel(duty(true, false));
+    let peers = follow::peers(&platform, 1, events, Event::Peers, duties);
+    run(peers, 60).await;
+    assert_eq!(platform.count("peers Stale"), 4);
+    assert_eq!(platform.count("peers Current"), 0);
+}
+
+#[parameterized(
+    up = { false },
+    down = { true },
+)]
+#[test_macro(tokio::test(start_paused = true))]
+async fn addresses_are_asked_for_on_and_on_by_who_hears_of_nobody(is_down: bool) {
+    let platform = Platform {
+        is_down,
+        ..Platform::default()
+    };
+    let (events, _inbox) = mpsc::channel(1_024);
+    let (_duty, duties) = watch::channel(duty(true, true));
+    let peers = follow::peers(&platform, 1, events, Event::Peers, duties);
+    run(peers, 20).await;
+    assert_eq!(platform.count("peers Stale"), 1);
+    assert!(platform.count("peers Current") >= 20);
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cassiacross::{
-    carry::Message,
+    carry::{self, Message},
     clock::Millis,
     ident::{DomainId, Incarnation, NodeId, ServiceId},
     member, node, passage, record, roster,
@@ -23,6 +23,7 @@
         domain: DomainId(1),
         control: addr(node),
         leaving: false,
+        deaf: false,
         upstream: service.map(|service| roster::Upstream {
             service,
             packets: addr(node),
@@ -194,3 +195,25 @@
     }
     assert_eq!(net.nodes[0].version(), 0);
 }
+
+#[test]
+fn version_that_peers_do_not_give_is_asked_of_the_platform() {
+    let mut node = node::Node::new(entry(1, None), Vec::new(), 1, Millis(0));
+    node.configure(config(3));
+    let peers = (2..9).map(|peer| entry(peer, None));
+    for peer in peers.clone() {
+        let beat = carry::Beat {
+            entry: peer,
+            period: roster::PERIOD,
+            config: 4,
+        };
+        node.message(addr(2), Message::Beat(beat), Millis(0));
+    }
+    assert!(!node.roster().is_watcher());
+    node.tick(Millis(100));
+    assert!(!node.duty(Millis(100)).config);
+    node.tick(Millis(1_200));
+    assert!(node.duty(Millis(1_200)).config);
+    node.configure(config(4));
+    assert!(!node.duty(Millis(1_200)).config);
+}
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -46,6 +46,7 @@
         domain: DOMAIN,
         control: hop(node).addr,
         leaving: false,
+        deaf: false,
         upstream: Some(roster::Upstream {
             service: SERVICE,
             packets: hop(node).addr,
--- a/tests/passage.rs
+++ b/tests/passage.rs
@@ -30,6 +30,7 @@
         domain: DomainId(1),
         control: addr,
         leaving: false,
+        deaf: false,
         upstream: service.map(|service| roster::Upstream {
             service,
             packets: addr,
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -22,6 +22,7 @@
         domain: DomainId(domain),
         control: addr,
         leaving: false,
+        deaf: false,
         upstream: Some(roster::Upstream {
             service: SERVICE,
             packets: addr,
@@ -192,3 +193,102 @@
     let mut chains = chains::Chains::new(SERVICE, &roster);
     assert_eq!(chains.chain(DomainId(1), 5).count(), 2);
 }
+
+/// A balancer that hears the platform, unless it is `deaf`.
+fn balancer(node: u16, domain: u32, deaf: bool) -> roster::Entry {
+    roster::Entry {
+        upstream: None,
+        deaf,
+        ..entry(node, domain)
+    }
+}
+
+/// Of balancers 1 to 9 in three domains, those that follow the platform.
+fn watchers(is_deaf: fn(u16) -> bool, is_silent: fn(u16) -> bool) -> Vec<u16> {
+    let domain = |node: u16| u32::from(node % 3);
+    let is_watcher = |own: &u16| {
+        let me = balancer(*own, domain(*own), is_deaf(*own));
+        let mut roster = roster::Roster::new(me, Millis(0));
+        for now in (0..3_000).step_by(100).map(Millis) {
+            for other in (1..10).filter(|other| other != own) {
+                if now == Millis(0) || !is_silent(other) {
+                    let other = balancer(other, domain(other), is_deaf(other));
+                    roster.merge(&other, PERIOD, true, now);
+                }
+            }
+            roster.tick(now);
+        }
+        roster.is_watcher()
+    };
+    (1..10)
+        .filter(|own| !is_silent(*own))
+        .filter(is_watcher)
+        .collect()
+}
+
+fn nobody(_: u16) -> bool {
+    false
+}
+
+#[test]
+fn few_balancers_of_each_domain_follow_the_platform() {
+    let watchers = watchers(nobody, nobody);
+    for domain in 0..3 {
+        let there = watchers.iter().filter(|node| **node % 3 == domain);
+        assert_eq!(there.count(), 2, "{watchers:?}");
+    }
+}
+
+#[test]
+fn few_go_on_asking_a_platform_that_answers_nobody() {
+    let watchers = watchers(|_| true, nobody);
+    for domain in 0..3 {
+        let there = watchers.iter().filter(|node| **node % 3 == domain);
+        assert_eq!(there.count(), 2, "{watchers:?}");
+    }
+}
+
+#[parameterized(
+    deaf = { |node| node < 7, nobody },
+    silent = { nobody, |node| node < 7 },
+)]
+fn balancers_that_hear_nothing_are_replaced(is_deaf: fn(u16) -> bool, is_silent: fn(u16) -> bool) {
+    let watchers = watchers(is_deaf, is_silent);
+    for heard in 7..10 {
+        assert!(watchers.contains(&heard), "{watchers:?}");
+    }
+}
+
+#[parameterized(
+    nobody = { &[], &[], true },
+    agents = { &[2], &[], false },
+    balancers = { &[], &[3], false },
+)]
+fn balancer_is_alone_without_any_node(agents: &[u16], balancers: &[u16], alone: bool) {
+    let mut roster = roster::Roster::new(balancer(1, 1, false), Millis(0));
+    for agent in agents {
+        roster.merge(&entry(*agent, 1), PERIOD, true, Millis(0));
+    }
+    for other in balancers {
+        roster.merge(&balancer(*other, 1, false), PERIOD, true, Millis(0));
+    }
+    assert_eq!(roster.is_alone(), alone);
+}
+
+#[test]
+fn agent_is_alone_without_balancers() {
+    let mut roster = roster_of(&[2, 3]);
+    assert!(roster.is_alone());
+    roster.merge(&balancer(4, 1, false), PERIOD, true, Millis(0));
+    assert!(!roster.is_alone());
+}
+
+#[test]
+fn platform_is_heard_through_another_balancer() {
+    let mut roster = roster::Roster::new(balancer(1, 1, true), Millis(0));
+    assert!(!roster.hears_platform());
+    roster.merge(&balancer(2, 1, true), PERIOD, true, Millis(0));
+    assert!(!roster.hears_platform());
+    roster.merge(&balancer(3, 2, false), PERIOD, true, Millis(0));
+    assert!(roster.hears_platform());
+}
