Serve the count of lost log lines as a metric

Cause: the sink counted lines that a slow or broken reader lost, and nothing read the count: a gap in the logs could not be told from quiet.

--- a/src/sink.rs
+++ b/src/sink.rs
@@ -3,44 +3,37 @@
 
 use std::{
     io::{self, Write},
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-        mpsc::{self, SyncSender, TrySendError},
-    },
+    sync::mpsc::{self, SyncSender, TrySendError},
     thread,
 };
 
+use prometheus_client::metrics::counter::Counter;
+
 /// Lines that wait for the reader before new ones are dropped.
-const WAITING: usize = 1_024;
+pub const WAITING: usize = 1_024;
 
 /// Takes whole lines and never blocks.
 #[derive(Debug)]
 pub struct Sink {
     lines: SyncSender<Vec<u8>>,
-    dropped: Arc<AtomicU64>,
+    lost: Counter,
 }
 
 impl Sink {
-    /// A sink before a writer; the count of dropped lines is shared with the caller.
-    pub fn new(mut to: impl Write + Send + 'static) -> io::Result<(Self, Arc<AtomicU64>)> {
+    /// A sink before a writer; `lost` counts the lines that did not reach it.
+    pub fn new(mut to: impl Write + Send + 'static, lost: Counter) -> io::Result<Self> {
         let (lines, waiting) = mpsc::sync_channel::<Vec<u8>>(WAITING);
-        let dropped = Arc::new(AtomicU64::new(0));
-        let failed = Arc::clone(&dropped);
+        let failed = lost.clone();
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || {
                 for line in waiting {
                     if to.write_all(&line).and_then(|()| to.flush()).is_err() {
-                        failed.fetch_add(1, Ordering::Relaxed);
+                        failed.inc();
                     }
                 }
             })?;
-        let sink = Self {
-            lines,
-            dropped: Arc::clone(&dropped),
-        };
-        Ok((sink, dropped))
+        Ok(Self { lines, lost })
     }
 }
 
@@ -49,7 +42,7 @@
         match self.lines.try_send(buf.to_vec()) {
             Ok(()) => {}
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.dropped.fetch_add(1, Ordering::Relaxed);
+                self.lost.inc();
             }
         }
         Ok(buf.len())
