Make one entry for a starting process, and merge statements as rows

Cause: balancer and agent built their own roster entries alike, and two arms of `Roster::merge` took the same five values one by one.

Change: `roster::Entry::starting`; `merge` makes one row and hands it on. No behaviour changes, so no new test; the tests of roster, node, owner and passage pass as they are.

--- a/src/beside.rs
+++ b/src/beside.rs
@@ -209,21 +209,14 @@
 }
 
 fn own_entry(settings: &Settings, service: ident::ServiceId) -> roster::Entry {
-    roster::Entry {
-        node: ident::NodeId::of(&settings.name),
-        incarnation: ident::Incarnation::start(),
-        change: 0,
-        domain: ident::DomainId::of(&settings.domain),
-        control: settings.packets,
-        leaving: false,
-        deaf: true,
-        upstream: Some(roster::Upstream {
-            service,
-            packets: settings.packets,
-            state: None,
-            step: 0,
-        }),
-    }
+    let upstream = roster::Upstream {
+        service,
+        packets: settings.packets,
+        state: None,
+        step: 0,
+    };
+    let (name, domain) = (&settings.name, &settings.domain);
+    roster::Entry::starting(name, domain, settings.packets, Some(upstream))
 }
 
 const fn stop(me: &roster::Entry, service: ident::ServiceId, addr: SocketAddrV4) -> carry::Stop {
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -17,7 +17,7 @@
     time,
 };
 
-use crate::{clock, follow, ident, node, passage, post, roster, segment, socket, tally};
+use crate::{clock, follow, node, passage, post, roster, segment, socket, tally};
 
 /// Fifths of the grace time for which a process that is to stop goes on: long enough
 /// for the fabric to turn away, short enough to end by itself on a slow host.
@@ -145,16 +145,8 @@
     let control = socket::Socket::bind(settings.control).context("control")?;
     let post = post::Post::new(&settings.secret);
     let clock = clock::Clock::new();
-    let me = roster::Entry {
-        node: ident::NodeId::of(&settings.name),
-        incarnation: ident::Incarnation::start(),
-        change: 0,
-        domain: ident::DomainId::of(&settings.domain),
-        control: settings.control,
-        leaving: false,
-        deaf: true,
-        upstream: None,
-    };
+    let (name, domain) = (&settings.name, &settings.domain);
+    let me = roster::Entry::starting(name, domain, settings.control, None);
     let seed = me.incarnation.0;
     Ok(Loop {
         codec,
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -68,6 +68,26 @@
 }
 
 impl Entry {
+    /// A process of the fleet that starts now.
+    #[must_use]
+    pub fn starting(
+        name: &str,
+        domain: &str,
+        control: SocketAddrV4,
+        upstream: Option<Upstream>,
+    ) -> Self {
+        Self {
+            node: ident::NodeId::of(name),
+            incarnation: ident::Incarnation::start(),
+            change: 0,
+            domain: ident::DomainId::of(domain),
+            control,
+            leaving: false,
+            deaf: true,
+            upstream,
+        }
+    }
+
     /// Whether this entry replaces `other` of the same node.
     #[must_use]
     pub fn is_newer(&self, other: &Self) -> bool {
@@ -192,9 +212,16 @@
         let found = self
             .rows
             .binary_search_by_key(&entry.node, |row| row.entry.node);
+        let heard = Row {
+            entry: entry.clone(),
+            heard: now,
+            period,
+            direct,
+            silent: false,
+        };
         match found {
-            Err(at) => self.insert(at, entry, period, direct, now),
-            Ok(at) => self.refresh(at, entry, period, direct, now),
+            Err(at) => self.insert(at, heard),
+            Ok(at) => self.refresh(at, heard),
         }
     }
 
@@ -337,50 +364,25 @@
         entries
     }
 
-    fn insert(
-        &mut self,
-        at: usize,
-        entry: &Entry,
-        period: Millis,
-        direct: bool,
-        now: Millis,
-    ) -> Merge {
-        let row = Row {
-            entry: entry.clone(),
-            heard: now,
-            period,
-            direct,
-            silent: false,
-        };
-        self.rows.insert(at, row);
+    fn insert(&mut self, at: usize, heard: Row) -> Merge {
+        self.rows.insert(at, heard);
         self.revision += 1;
         Merge::New
     }
 
-    fn refresh(
-        &mut self,
-        at: usize,
-        entry: &Entry,
-        period: Millis,
-        direct: bool,
-        now: Millis,
-    ) -> Merge {
+    fn refresh(&mut self, at: usize, heard: Row) -> Merge {
         let row = &mut self.rows[at];
-        let newer = entry.is_newer(&row.entry);
-        let same = *entry == row.entry;
-        if !newer && !same {
+        let newer = heard.entry.is_newer(&row.entry);
+        if !newer && heard.entry != row.entry {
             return Merge::Old;
         }
-        if !newer && !direct {
+        if !newer && !heard.direct {
             return Merge::Same;
         }
-        let run = entry.incarnation > row.entry.incarnation;
-        let back = row.silent || (direct && !row.direct);
-        row.entry.clone_from(entry);
-        row.heard = now;
-        row.period = period;
-        row.direct |= direct;
-        row.silent = false;
+        let run = heard.entry.incarnation > row.entry.incarnation;
+        let back = row.silent || (heard.direct && !row.direct);
+        let direct = row.direct || heard.direct;
+        *row = Row { direct, ..heard };
         self.revision += u64::from(newer || back);
         match (run || back, newer) {
             (true, _) => Merge::New,
