Keep the platform's names out of soak and proofs

The soak wrote `config/main` and called `/api/ready` by their names, and `proof_config` read the store's lists by path and field, though the one client lists them. `Store::configure`, `upstream::is_ready` and `Client::list` serve instead; the proof makes its client in one place.

--- a/tests/proof_config.rs
+++ b/tests/proof_config.rs
@@ -152,11 +152,16 @@
         *self.targets.lock().expect("targets") = targets.collect();
     }
 
+    fn platform(&self) -> platform::Client {
+        let base = format!("http://{}", self.fleet.platform);
+        platform::Client::new(&base, change::CALL_LIMIT.to_duration()).expect("client")
+    }
+
     async fn until_registered(&self, count: usize) {
-        let path = format!("/api/objects/{}", member::BALANCERS);
+        let client = self.platform();
         wait::until("registration of balancers", wait::LIMIT, async || {
-            let listed = self.fleet.client.get(self.fleet.platform, &path).await;
-            listed.is_ok_and(|listed| listed["items"].as_array().map(Vec::len) == Some(count))
+            let listed = client.list(member::BALANCERS, platform::Age::Current).await;
+            listed.is_ok_and(|listed| listed.items.len() == count)
         })
         .await
         .expect("balancers register");
@@ -241,11 +246,7 @@
 
     /// Writes to the platform past the fleet, as through a balancer that then died.
     async fn write_past(&mut self, expected: u64, id: &str) -> u64 {
-        let client = platform::Client::new(
-            &format!("http://{}", self.fleet.platform),
-            change::CALL_LIMIT.to_duration(),
-        );
-        let client = client.expect("client");
+        let client = self.platform();
         let request = change::Request {
             name: RECORD,
             id,
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -121,7 +121,7 @@
     let net = u8::try_from(FIRST_NET + seed % NETS).unwrap_or(u8::MAX);
     let site = Site::new(net, program);
     let store = Store::serve(site.store());
-    store.write("config", "main", &config(1, true));
+    store.configure(&config(1, true));
     Arc::new(World {
         clock: clock::Clock::new(),
         site: Mutex::new(site),
@@ -146,7 +146,7 @@
     };
     let mut missed = 0;
     while !world.is_over() {
-        let ready = upstream::call(addr, "GET", "/api/ready", "") == Some(200);
+        let ready = upstream::is_ready(addr) == Some(true);
         missed = if ready { 0 } else { missed + 1 };
         let mut rotation = lock(&world.rotation);
         rotation.retain(|other| *other != balancer);
--- a/xtask/src/soak/faults.rs
+++ b/xtask/src/soak/faults.rs
@@ -292,9 +292,7 @@
         self.version += 1;
         let there = self.version.is_multiple_of(2);
         let calm = self.world.now();
-        self.world
-            .store
-            .write("config", "main", &config(self.version, there));
+        self.world.store.configure(&config(self.version, there));
         thread::sleep(APPLY);
         let opened = self.open(work::SOMETIMES).is_some();
         let now = self.world.now();
