Rank the watchers of a failure domain in one place

`watch::is_watcher` and `Roster::is_watcher` counted alike who comes before a balancer. `watch::is_among_first` serves both. Behaviour is the same; tests unchanged.

--- a/src/roster.rs
+++ b/src/roster.rs
@@ -258,15 +258,14 @@
     /// platform: the first by rendezvous hashing, and as many of those that it answers.
     #[must_use]
     pub fn is_watcher(&self) -> bool {
-        let own = watch::score(self.me.node);
-        let before =
-            |row: &&Row| row.entry.domain == self.me.domain && watch::score(row.entry.node) > own;
-        let all = self.balancers().filter(before).count();
-        let hearing = self
-            .balancers()
-            .filter(before)
-            .filter(|row| !row.entry.deaf);
-        all < watch::PER_DOMAIN || (!self.me.deaf && hearing.count() < watch::PER_DOMAIN)
+        let me = &self.me;
+        let others = || {
+            let entries = self.balancers().map(|row| &row.entry);
+            entries.filter(|other| other.domain == me.domain)
+        };
+        let hearing = others().filter(|other| !other.deaf);
+        watch::is_among_first(me.node, others().map(|other| other.node))
+            || (!me.deaf && watch::is_among_first(me.node, hearing.map(|other| other.node)))
     }
 
     /// Whether the platform answers this node or another balancer.
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -26,13 +26,18 @@
     let Some(own) = live.iter().find(|balancer| balancer.node == me) else {
         return false;
     };
-    let score = score(me);
-    let before = live
+    let others = live
         .iter()
         .filter(|other| other.domain == own.domain && !other.leaving)
-        .filter(|other| self::score(other.node) > score)
-        .count();
-    !own.leaving && before < PER_DOMAIN
+        .map(|other| other.node);
+    !own.leaving && is_among_first(me, others)
+}
+
+/// Whether fewer than [`PER_DOMAIN`] of the other balancers of a failure domain come
+/// before `me` by rendezvous hashing.
+pub fn is_among_first(me: ident::NodeId, others: impl Iterator<Item = ident::NodeId>) -> bool {
+    let own = score(me);
+    others.filter(|other| score(*other) > own).count() < PER_DOMAIN
 }
 
 /// Follows the objects of one kind.
@@ -144,8 +149,6 @@
     explained < listing.revision - after
 }
 
-/// A balancer's rank among the watchers of its failure domain; the highest come first.
-#[must_use]
-pub fn score(node: ident::NodeId) -> u64 {
+fn score(node: ident::NodeId) -> u64 {
     xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), SEED)
 }
