Let a returned packet's decision say that all flows are known

`bounced` copied six fields of `Around` to change one; the struct is made for one decision, so the field is set in place. Behaviour is the same; tests unchanged.

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -532,15 +532,8 @@
         let Some(header) = pending else {
             return Action::Drop(Reason::NotOwned);
         };
-        let mut known = Around {
-            accepts: around.accepts,
-            complete: true,
-            chains: around.chains,
-            roster: around.roster,
-            seed: around.seed,
-            now: around.now,
-        };
-        self.unknown(&mut known, header, segment)
+        around.complete = true;
+        self.unknown(around, header, segment)
     }
 
     fn forget(&mut self, flow: &Flow) {
