Make two tests independent of the host's speed

random_faults drew new faults every 5 to 40 ms, so a starved host could send its requests between the faults that refuse them.

Fleet::start waited for the agents and one response of each service, not for the balancers to know each agent, which a drain of an upstream needs. It now waits until each balancer lists each agent as ready.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -437,7 +437,8 @@
         Ok(())
     }
 
-    /// Waits until all agents are ready and each service responds to a request.
+    /// Waits until all agents are ready, each balancer knows each of them as ready, and each
+    /// service responds to a request.
     async fn wait_ready(&self) -> Result<(), Error> {
         for upstream in &self.upstreams {
             let condition = format!("readiness of the agent of {}", upstream.name);
@@ -447,6 +448,14 @@
             })
             .await?;
         }
+        for balancer in &self.balancers {
+            let condition = format!("all agents at {}", balancer.process.name());
+            let http = balancer.addr.http.into();
+            wait::until(&condition, wait::LIMIT, async || {
+                self.knows_all_agents(http).await
+            })
+            .await?;
+        }
         for (service, port) in &self.ports {
             let condition = format!("response of {service}");
             let url = format!("http://{port}/settle");
@@ -458,6 +467,21 @@
         Ok(())
     }
 
+    /// Returns whether the balancer at `http` lists the agent of each upstream as ready.
+    async fn knows_all_agents(&self, http: SocketAddr) -> bool {
+        let Ok(state) = self.client.state(http).await else {
+            return false;
+        };
+        let members = state["members"].as_array().map_or(&[][..], Vec::as_slice);
+        let is_ready = |name: &str| {
+            let mut rows = members.iter().map(|row| &row["member"]);
+            rows.any(|member| member["name"] == name && member["state"] == "ready")
+        };
+        self.upstreams
+            .iter()
+            .all(|upstream| is_ready(&upstream.name))
+    }
+
     async fn start_balancer(
         &mut self,
         name: &str,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,6 +1,11 @@
 //! Relay between callers' flows and a simulated upstream with injected faults.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cassiacross::{budget, clock, outcome, queue, record, relay, request};
@@ -691,17 +696,9 @@
 #[test_macro(tokio::test)]
 async fn random_faults(seed: u64) {
     let fixture = fixture(NO_FAULTS).await;
-    let upstream = fixture.upstream.clone();
-    let switching = tokio::spawn(async move {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        loop {
-            upstream.set_faults(draw_faults(&mut rng));
-            time::sleep(Duration::from_millis(rng.random_range(5..40))).await;
-        }
-    });
-    let callers = (0..12).map(|caller| run_caller(&fixture, caller, seed));
+    let faults = FaultSequence::new(seed);
+    let callers = (0..12).map(|caller| run_caller(&fixture, &faults, caller, seed));
     let tallies = future::join_all(callers).await;
-    switching.abort();
     assert!(tallies.iter().any(|tally| tally.answered > 0));
     assert!(tallies.iter().any(|tally| !tally.not_run.is_empty()));
     until(|| is_quiet(&fixture.relay)).await;
@@ -715,6 +712,9 @@
     }
 }
 
+/// Requests of all callers between two changes of the upstream's faults.
+const REQUESTS_PER_FAULT: usize = 6;
+
 fn draw_faults(rng: &mut SmallRng) -> upstream::Faults {
     match rng.random_range(0..10) {
         0 => upstream::Faults {
@@ -745,6 +745,30 @@
     }
 }
 
+/// Faults of the upstream that change after a number of requests, so that each kind of fault
+/// meets requests however fast the host is.
+struct FaultSequence {
+    rng: RefCell<SmallRng>,
+    requests: Cell<usize>,
+}
+
+impl FaultSequence {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            requests: Cell::new(0),
+        }
+    }
+
+    /// Counts a request, and draws new faults if it is the first one of an interval.
+    fn before_request(&self, upstream: &upstream::Upstream) {
+        let count = self.requests.replace(self.requests.get() + 1);
+        if count.is_multiple_of(REQUESTS_PER_FAULT) {
+            upstream.set_faults(draw_faults(&mut self.rng.borrow_mut()));
+        }
+    }
+}
+
 /// Results of one caller's requests.
 #[derive(Default)]
 struct Tally {
@@ -753,7 +777,7 @@
 }
 
 /// Sends 60 requests of one caller and checks their responses.
-async fn run_caller(fixture: &Fixture, caller: u64, seed: u64) -> Tally {
+async fn run_caller(fixture: &Fixture, faults: &FaultSequence, caller: u64, seed: u64) -> Tally {
     let mut rng = SmallRng::seed_from_u64(seed * 1_000 + caller);
     let (mut client, _) = client(&fixture.relay).await;
     let mut tally = Tally::default();
@@ -768,6 +792,7 @@
         if client.ready().await.is_err() {
             client = self::client(&fixture.relay).await.0;
         }
+        faults.before_request(&fixture.upstream);
         if rng.random_range(0..20) == 0 {
             let sending = client.send_request(new_request(method, "/", &id, &headers));
             drop(time::timeout(Duration::from_millis(3), sending).await);
