Confirm the failure of an upstream by two kinds of evidence

A probe was also sent with each tick, since a successful one only ended the suspicion until the next.

Change: failure_detector, a module of its own, replaces the suspicion in steering. A refused probe counts only with an unanswered SYN or a missed report, only while the suspicion lasts, and probes keep half a second between them.

--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -34,13 +34,6 @@
 /// Missed reports that are tolerated before the upstream gets no new flows.
 const MAX_MISSED_REPORTS: u64 = 3;
 
-/// Time without a response to callers after which an upstream whose report is overdue is
-/// considered failed.
-const UNRESPONSIVE_TIMEOUT: Millis = Millis(2_000);
-
-/// Report periods after which a report is overdue.
-const OVERDUE_PERIODS: u64 = 2;
-
 /// Time after the start of the agent after which no untracked flow is left: a flow
 /// without a packet for that long has reached its idle timeout.
 const COMPLETE_AFTER: Millis = Millis(75_000);
@@ -287,7 +280,7 @@
             busy: load.busy(),
             slots: load.slots(),
             mean_ms: load.mean_time(),
-            unheard_ms: self.flows.unresponsive_for(now),
+            unheard_ms: self.flows.failure().suspected_for(now),
             flows: self.flows.entries(),
             redirects: self.flows.redirects(),
             roster: self.peers.roster(),
@@ -365,18 +358,9 @@
 
     fn handle_probe_result(&mut self, listens: bool) {
         debug!(listens = listens; "upstream probe finished");
-        if listens {
-            self.flows.clear_suspicion();
-            return;
-        }
-        if self.status.report().is_some() {
-            warn!(
-                flows = self.flows.entries().len();
-                "upstream refuses connections; resetting its flows"
-            );
-            self.status.clear();
-            self.drop_upstream();
-        }
+        let now = self.clock.now();
+        self.flows.record_probe(listens, now);
+        self.check_failure(now);
     }
 
     /// Resets all flows of a failed or deregistered upstream and announces the change to
@@ -456,21 +440,20 @@
             self.log_decision(None, &action);
             self.perform(action, &mut []);
         }
-        self.check_unresponsive(now);
+        self.check_failure(now);
     }
 
-    /// Treats the upstream as failed if it is unresponsive and its report is overdue.
-    fn check_unresponsive(&mut self, now: Millis) {
-        let unresponsive = self.flows.unresponsive_for(now);
-        let overdue = now.since(self.status.reported_at()).0
-            > self.settings.report_period.0 * OVERDUE_PERIODS;
-        if unresponsive.is_some_and(|time| time >= UNRESPONSIVE_TIMEOUT)
-            && overdue
-            && self.status.report().is_some()
-        {
+    /// Resets the flows of the upstream if it has failed.
+    fn check_failure(&mut self, now: Millis) {
+        let report_age = now.since(self.status.reported_at());
+        let failure = self.flows.failure();
+        let failed = failure.has_failed(report_age, self.settings.report_period, now);
+        if failed && self.status.report().is_some() {
             warn!(
-                flows = self.flows.entries().len();
-                "upstream is unresponsive and its report is overdue; resetting its flows"
+                flows = self.flows.entries().len(),
+                report_age_ms = report_age.0,
+                failure:? = failure;
+                "upstream has failed; resetting its flows"
             );
             self.status.clear();
             self.drop_upstream();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod displaced;
 pub mod endpoint;
 pub mod exchange;
+pub mod failure_detector;
 pub mod flow;
 pub mod former_addresses;
 pub mod forward;
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -19,6 +19,7 @@
     chains,
     clock::Millis,
     conntrack,
+    failure_detector::{self, Evidence},
     header::Hop,
     header_ring,
     ident::{DomainId, NodeId},
@@ -36,9 +37,6 @@
 /// Time within which a live upstream answers a SYN.
 pub const ANSWER_TIMEOUT: Millis = Millis(100);
 
-/// Interval between two connection probes of an unresponsive upstream.
-const PROBE_INTERVAL: Millis = Millis(500);
-
 /// Lower bound of the time without a packet on any flow with an outstanding request after
 /// which the upstream is probed.
 const MIN_HANG_TIMEOUT: Millis = Millis(500);
@@ -48,13 +46,6 @@
 /// know all other agents yet.
 const SETTLE_QUARTERS: u64 = 5;
 
-/// State of an upstream that is suspected of having failed.
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Suspicion {
-    since: Millis,
-    probed: Millis,
-}
-
 /// SYN that was delivered to the upstream and is not answered yet.
 #[derive(Clone, Debug)]
 struct PendingSyn {
@@ -170,7 +161,7 @@
     owners: owner_cache::OwnerCache,
     headers: header_ring::HeaderRing,
     pending_syns: Vec<PendingSyn>,
-    suspicion: Option<Suspicion>,
+    failure: failure_detector::FailureDetector,
     notices: Vec<(Hop, Flow)>,
     /// Roster revision for which the homes were determined.
     homes_revision: Option<u64>,
@@ -188,7 +179,7 @@
             owners: owner_cache::OwnerCache::default(),
             headers: header_ring::HeaderRing::new(),
             pending_syns: Vec::new(),
-            suspicion: None,
+            failure: failure_detector::FailureDetector::default(),
             notices: Vec::new(),
             homes_revision: None,
             service_times: Vec::new(),
@@ -229,16 +220,15 @@
         self.own_address = me;
     }
 
-    /// Returns the time for which the upstream has been unresponsive, or `None` if it is
-    /// not suspected.
+    /// Returns the failure detector of the upstream.
     #[must_use]
-    pub fn unresponsive_for(&self, now: Millis) -> Option<Millis> {
-        self.suspicion.map(|suspicion| now.since(suspicion.since))
+    pub const fn failure(&self) -> &failure_detector::FailureDetector {
+        &self.failure
     }
 
-    /// Marks the upstream as responsive again.
-    pub const fn clear_suspicion(&mut self) {
-        self.suspicion = None;
+    /// Records whether the upstream accepted a connection probe.
+    pub fn record_probe(&mut self, listens: bool, now: Millis) {
+        self.failure.record_probe(listens, now);
     }
 
     /// Decides what to do with a caller's packet that a balancer or another agent
@@ -275,7 +265,7 @@
     /// that the upstream is responsive: a hung upstream may still close idle flows.
     pub fn outbound(&mut self, context: &mut Context<'_>, segment: &Segment) -> Action {
         if segment.bounced || segment.syn_ack || segment.len > 0 {
-            self.suspicion = None;
+            self.failure.record_response();
         }
         if segment.bounced {
             return self.handle_returned(context, segment);
@@ -346,12 +336,9 @@
             self.handle_unanswered(syn, actions, now);
         }
         if self.is_hanging(now) {
-            self.suspect(now);
+            self.failure.suspect(Evidence::NoTraffic, now);
         }
-        if let Some(suspicion) = &mut self.suspicion
-            && now.since(suspicion.probed) >= PROBE_INTERVAL
-        {
-            suspicion.probed = now;
+        if self.failure.take_probe(now) {
             actions.push(Action::Probe);
         }
     }
@@ -363,7 +350,7 @@
         actions.extend(open.map(|entry| Action::Reset(entry.flow, entry.ack)));
         self.entries.clear();
         self.pending_syns.clear();
-        self.suspicion = None;
+        self.failure = failure_detector::FailureDetector::default();
         self.load = load::Load::new(self.load.slots());
     }
 
@@ -412,7 +399,7 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
-        let accepts = context.accepts && self.suspicion.is_none();
+        let accepts = context.accepts && !self.failure.is_suspected();
         let expected = self.expected_requests(context.now);
         if accepts && self.load.has_free_slot(expected) {
             return self.accept_flow(context, header, segment, bytes);
@@ -603,7 +590,7 @@
 
     /// Forwards a SYN that the upstream did not answer to the next hop.
     fn handle_unanswered(&mut self, syn: PendingSyn, actions: &mut Vec<Action>, now: Millis) {
-        self.suspect(now);
+        self.failure.suspect(Evidence::UnansweredSyn, now);
         self.remove(&syn.flow);
         let Some(header) = self.headers.take(syn.token, &syn.flow) else {
             return;
@@ -613,14 +600,6 @@
         }
     }
 
-    /// Marks the upstream as suspected; the next tick probes it.
-    fn suspect(&mut self, now: Millis) {
-        self.suspicion.get_or_insert(Suspicion {
-            since: now,
-            probed: Millis(0),
-        });
-    }
-
     /// Returns whether requests are outstanding but no packet has passed on their flows
     /// for ten mean service times, or `MIN_HANG_TIMEOUT` if that is longer.
     fn is_hanging(&self, now: Millis) -> bool {
