Pace what leaves a host to the rate of its link

A link of 2 Mbit/s drops the bursts of upload windows (16 packets), which the forwarding header makes a fifth larger; callers repeat them after 200 to 1,600 ms and fill the link again. Ruled out: loss before the balancer (3,679 packets), control traffic (about 5 kB/s received).

Repeated packets are dropped while the original waits. Delivery to the upstream on the same host is not paced.

--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -3,7 +3,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, SocketAddrV4},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
     time::Duration,
 };
 
@@ -19,7 +19,7 @@
 use crate::{
     balancer_loop, chains,
     clock::{self, Millis},
-    conntrack, header, ident, member,
+    conntrack, header, ident, member, pacer,
     packet::Flow,
     peer_sync, platform_sync, protocol, roster, segment, socket, status, steering, telemetry,
     transport,
@@ -38,6 +38,12 @@
 /// without a packet for that long has reached its idle timeout.
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
+/// Priority of packets that an agent forwards to another one.
+const FORWARDED: transport::Priority = transport::Priority {
+    class: pacer::Class::Normal,
+    key: None,
+};
+
 /// Settings of an agent.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -64,6 +70,8 @@
     pub first_start: bool,
     /// Grace period between the request to shut down and the kill of the process.
     pub grace: Millis,
+    /// Rate of the host's link in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Event from the platform adapter.
@@ -100,8 +108,10 @@
     redirects: usize,
     roster: &'a roster::Roster,
     config: u64,
-    /// Number of datagrams that could not be sent.
-    unsent: u64,
+    /// Time that the waiting datagrams take up the link.
+    link_delay_ms: Millis,
+    /// Number of datagrams that were not sent.
+    unsent: transport::Unsent,
 }
 
 struct AgentLoop {
@@ -143,7 +153,9 @@
     let mut stop_at = None;
     info!(name = agent.settings.name, service = agent.settings.service; "agent started");
     loop {
+        let due = agent.transport.due().map(|at| agent.clock.instant(at));
         tokio::select! {
+            () = pacer::wait_until(due) => {}
             result = agent.packet_socket.readable() => {
                 result.context("packet socket failed")?;
                 agent.receive_inbound();
@@ -187,7 +199,7 @@
         socket::Socket::bind(settings.packets).context("cannot bind packet socket")?;
     let upstream_socket =
         socket::Socket::bind(settings.outbound).context("cannot bind upstream socket")?;
-    let transport = transport::Transport::new(&settings.secret);
+    let transport = transport::Transport::new(&settings.secret, settings.link_mbps);
     let clock = clock::Clock::new();
     let service = ident::ServiceId::of(&settings.service);
     let me = own_entry(&settings, service);
@@ -285,6 +297,7 @@
             redirects: self.flows.redirects(),
             roster: self.peers.roster(),
             config: self.peers.config_version(),
+            link_delay_ms: self.transport.link_delay(),
             unsent: self.transport.unsent(),
         };
         serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
@@ -531,7 +544,7 @@
         };
         let action = self.decide(|flows, context| flows.outbound(context, &segment));
         if action == steering::Action::Answer {
-            self.send_to_caller(*segment.to.ip(), &packet);
+            self.send_to_caller(*segment.to.ip(), &packet, pacer::Class::Normal);
         } else {
             self.log_decision(Some(segment.inbound()), &action);
             self.perform(action, &mut packet);
@@ -543,30 +556,26 @@
         match action {
             steering::Action::Deliver(token) => {
                 (self.codec.stamp)(packet, token);
+                let upstream = self.settings.upstream;
                 self.transport
-                    .send_raw(&self.upstream_socket, self.settings.upstream, packet);
+                    .send_local(&self.upstream_socket, upstream, packet);
             }
             steering::Action::Send(header) => {
                 (self.codec.stamp)(packet, 0);
-                self.transport
-                    .send_packet(&self.packet_socket, &header, packet);
-            }
-            steering::Action::Resend(header, bytes) => {
-                self.transport
-                    .send_packet(&self.packet_socket, &header, &bytes);
+                self.forward(&header, packet);
             }
+            steering::Action::Resend(header, bytes) => self.forward(&header, &bytes),
             steering::Action::Search(header) => self.send_search(header, packet),
             steering::Action::Disown(requester, flow) => {
                 let message = protocol::Message::Unowned {
                     node: self.peers.roster().me().node,
                     flows: vec![flow],
                 };
-                self.transport
-                    .send_message(&self.packet_socket, requester.addr, &message);
+                self.send_message(requester.addr, &message);
             }
             steering::Action::Reset(flow, seq) => {
                 let reset = (self.codec.reset)(&flow, seq);
-                self.send_to_caller(*flow.caller.ip(), &reset);
+                self.send_to_caller(*flow.caller.ip(), &reset, pacer::Class::Control);
             }
             steering::Action::Probe => self.probe(),
             steering::Action::Drop(_) | steering::Action::Answer => {}
@@ -587,14 +596,30 @@
                 service: self.service,
                 hop,
             }];
-            self.transport
-                .send_packet(&self.packet_socket, &header, packet);
+            self.forward(&header, packet);
         }
     }
 
-    fn send_to_caller(&mut self, ip: std::net::Ipv4Addr, bytes: &[u8]) {
+    /// Forwards a packet to another agent.
+    fn forward(&mut self, header: &protocol::Header, packet: &[u8]) {
+        let now = self.clock.now();
+        let sockets = single_socket(&self.packet_socket);
+        self.transport
+            .send_packet(sockets, header, packet, FORWARDED, now);
+    }
+
+    fn send_message(&mut self, to: SocketAddrV4, message: &protocol::Message) {
+        let now = self.clock.now();
+        let sockets = single_socket(&self.packet_socket);
+        self.transport.send_message(sockets, to, message, now);
+    }
+
+    fn send_to_caller(&mut self, ip: Ipv4Addr, bytes: &[u8], class: pacer::Class) {
         let to = SocketAddrV4::new(ip, self.settings.packets.port());
-        self.transport.send_raw(&self.packet_socket, to, bytes);
+        let now = self.clock.now();
+        let sockets = single_socket(&self.packet_socket);
+        self.transport
+            .send_to_caller(sockets, to, bytes, class, now);
     }
 
     /// Opens a connection to the upstream in a separate task. Only a refused connection
@@ -627,12 +652,20 @@
             self.telemetry.observe_service_time(service_time);
         }
         for (hop, message) in self.flows.take_notices() {
-            self.transport
-                .send_message(&self.packet_socket, hop.addr, &message);
+            self.send_message(hop.addr, &message);
         }
+        let now = self.clock.now();
+        let sockets = single_socket(&self.packet_socket);
         for (to, message) in self.peers.outgoing() {
-            self.transport
-                .send_message(&self.packet_socket, to, &message);
+            self.transport.send_message(sockets, to, &message, now);
         }
+        self.transport.send_due(sockets, now);
+    }
+}
+
+const fn single_socket(socket: &socket::Socket) -> transport::Sockets<'_> {
+    transport::Sockets {
+        packets: socket,
+        messages: socket,
     }
 }
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    clock, peer_sync, platform_sync, roster, routing, segment, socket, telemetry, transport,
+    clock, pacer, peer_sync, platform_sync, roster, routing, segment, socket, telemetry, transport,
 };
 
 /// Fifths of the grace period for which a process keeps running after the request to shut
@@ -46,6 +46,8 @@
     pub secret: String,
     /// Grace period between the request to shut down and the kill of the process.
     pub grace: clock::Millis,
+    /// Rate of the host's link in Mbit/s.
+    pub link_mbps: f64,
 }
 
 /// Event from the platform adapter.
@@ -72,8 +74,10 @@
     hears_platform: bool,
     roster: &'a roster::Roster,
     config: Option<&'a routing::Config>,
-    /// Number of datagrams that could not be sent.
-    unsent: u64,
+    /// Time that the waiting datagrams take up the link.
+    link_delay_ms: clock::Millis,
+    /// Number of datagrams that were not sent.
+    unsent: transport::Unsent,
 }
 
 struct BalancerLoop {
@@ -111,7 +115,12 @@
     let mut stop_at = None;
     info!(name = settings.name, packets:% = settings.packets; "balancer started");
     loop {
+        let due = balancer
+            .transport
+            .due()
+            .map(|at| balancer.clock.instant(at));
         tokio::select! {
+            () = pacer::wait_until(due) => {}
             result = balancer.packet_socket.readable() => {
                 result.context("packet socket failed")?;
                 balancer.forward_packets();
@@ -154,7 +163,7 @@
         socket::Socket::bind(settings.packets).context("cannot bind packet socket")?;
     let control_socket =
         socket::Socket::bind(settings.control).context("cannot bind control socket")?;
-    let transport = transport::Transport::new(&settings.secret);
+    let transport = transport::Transport::new(&settings.secret, settings.link_mbps);
     let clock = clock::Clock::new();
     let (name, domain) = (&settings.name, &settings.domain);
     let me = roster::Entry::starting(name, domain, settings.control, None);
@@ -216,6 +225,7 @@
             hears_platform: self.peers.roster().is_platform_reachable(),
             roster: self.peers.roster(),
             config: self.peers.config(),
+            link_delay_ms: self.transport.link_delay(),
             unsent: self.transport.unsent(),
         };
         serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
@@ -227,6 +237,7 @@
         let Self {
             codec,
             packet_socket,
+            control_socket,
             caller_port,
             transport,
             hash_seed,
@@ -237,6 +248,10 @@
             ..
         } = self;
         let now = clock.now();
+        let sockets = transport::Sockets {
+            packets: packet_socket,
+            messages: control_socket,
+        };
         let is_reachable = peers.roster().is_platform_reachable();
         tables.refresh(peers.roster());
         packet_socket.receive(|bytes, _from| {
@@ -255,17 +270,23 @@
                 *hash_seed,
                 &segment,
             ) {
-                Ok(header) => transport.send_packet(packet_socket, &header, bytes),
+                Ok(header) => {
+                    let priority = routing::priority(peers.config(), *hash_seed, &segment);
+                    transport.send_packet(sockets, &header, bytes, priority, now);
+                }
                 Err(refusal) => {
                     let flow = segment.inbound();
                     let reset_sent =
                         refusal == routing::Refusal::NoRoute && is_reachable && !segment.reset;
                     if reset_sent {
                         let reset = (codec.reset)(&flow, segment.ack);
-                        transport.send_raw(
-                            packet_socket,
-                            SocketAddrV4::new(*flow.caller.ip(), *caller_port),
+                        let caller = SocketAddrV4::new(*flow.caller.ip(), *caller_port);
+                        transport.send_to_caller(
+                            sockets,
+                            caller,
                             &reset,
+                            pacer::Class::Control,
+                            now,
                         );
                     }
                     let name = refusal.name();
@@ -309,15 +330,16 @@
         });
     }
 
+    /// Sends the messages to other nodes, and what waited for the link.
     fn send_messages(&mut self) {
-        let Self {
-            control_socket,
-            transport,
-            peers,
-            ..
-        } = self;
-        for (to, message) in peers.outgoing() {
-            transport.send_message(control_socket, to, &message);
+        let sockets = transport::Sockets {
+            packets: &self.packet_socket,
+            messages: &self.control_socket,
+        };
+        let now = self.clock.now();
+        for (to, message) in self.peers.outgoing() {
+            self.transport.send_message(sockets, to, &message, now);
         }
+        self.transport.send_due(sockets, now);
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod metrics;
 pub mod outcome;
 pub mod owner_cache;
+pub mod pacer;
 pub mod packet;
 pub mod peer_sync;
 pub mod platform_sync;
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -9,8 +9,9 @@
     chains,
     clock::Millis,
     ident::{DomainId, ServiceId},
-    protocol, record, roster,
+    pacer, protocol, record, roster,
     segment::Segment,
+    transport,
 };
 
 /// Hops in the most likely service for a packet that does not open a flow: the first and
@@ -222,6 +223,29 @@
     })
 }
 
+/// Returns the priority of a caller's packet on the link. Packets without payload are
+/// small and keep flows going, so they are never behind others.
+#[must_use]
+pub fn priority(config: Option<&Config>, seed: u64, segment: &Segment) -> transport::Priority {
+    if segment.len == 0 {
+        return transport::Priority {
+            class: pacer::Class::Urgent,
+            key: None,
+        };
+    }
+    let route = config.and_then(|config| config.find(segment.to));
+    let class = match route.map(|route| route.class) {
+        Some(record::Class::Urgent) => pacer::Class::Urgent,
+        Some(record::Class::Normal) | None => pacer::Class::Normal,
+        Some(record::Class::Bulk) => pacer::Class::Bulk,
+    };
+    let position = u64::from(segment.seq);
+    transport::Priority {
+        class,
+        key: Some(segment.inbound().hash(seed ^ position)),
+    }
+}
+
 /// Returns the whole chain of a flow, rotated by the number of the SYN copy.
 fn syn_hops(
     chains: &mut chains::Chains,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,12 +1,19 @@
 //! Sends and opens sealed (authenticated) datagrams between nodes of pass-through
-//! services.
+//! services, and paces all datagrams that leave the host.
 
-use std::{io, net::SocketAddrV4};
+use std::{mem, net::SocketAddrV4};
 
 use log::debug;
+use serde::Serialize;
 use thiserror::Error;
 
-use crate::{header, protocol, seal, socket::Socket};
+use crate::{
+    clock::Millis,
+    header,
+    pacer::{self, Class, Outlet, Verdict},
+    protocol, seal,
+    socket::Socket,
+};
 
 /// Error in opening a datagram.
 #[derive(Debug, Error)]
@@ -34,24 +41,56 @@
     Message(protocol::Message),
 }
 
-/// Seals and sends datagrams, and counts the ones that could not be sent.
+/// Sockets of a node. An agent uses the same one for both.
+#[derive(Clone, Copy, Debug)]
+pub struct Sockets<'a> {
+    /// Socket for packets.
+    pub packets: &'a Socket,
+    /// Socket for messages between nodes.
+    pub messages: &'a Socket,
+}
+
+/// How urgently a packet is sent, and how its repetitions are recognised.
+#[derive(Clone, Copy, Debug)]
+pub struct Priority {
+    /// Class of the packet.
+    pub class: Class,
+    /// Equal for all repetitions of a packet, `None` if each is sent.
+    pub key: Option<u64>,
+}
+
+/// Number of datagrams that were not sent, by reason.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Unsent {
+    /// The socket did not accept them.
+    pub failed: u64,
+    /// They repeated a packet that waited for the link.
+    pub repeated: u64,
+    /// Too many datagrams waited for the link.
+    pub overflowed: u64,
+}
+
+/// Seals, paces and sends datagrams, and counts the ones that are not sent.
 #[derive(Debug)]
 pub struct Transport {
     sealer: seal::Sealer,
+    pacer: pacer::Pacer,
     encoded: Vec<u8>,
     sealed: Vec<u8>,
-    unsent: u64,
+    unsent: Unsent,
 }
 
 impl Transport {
-    /// Creates a transport that seals with the fleet's secret.
+    /// Creates a transport that seals with the fleet's secret, on a host whose link has
+    /// this rate in Mbit/s.
     #[must_use]
-    pub fn new(secret: &str) -> Self {
+    pub fn new(secret: &str, link_mbps: f64) -> Self {
         Self {
             sealer: seal::Sealer::new(secret),
+            pacer: pacer::Pacer::new(link_mbps),
             encoded: Vec::new(),
             sealed: Vec::new(),
-            unsent: 0,
+            unsent: Unsent::default(),
         }
     }
 
@@ -61,10 +100,26 @@
         self.sealer.flow_seed()
     }
 
-    /// Returns the number of datagrams that the socket did not accept.
+    /// Returns the number of datagrams that were not sent.
     #[must_use]
-    pub const fn unsent(&self) -> u64 {
-        self.unsent
+    pub const fn unsent(&self) -> Unsent {
+        Unsent {
+            overflowed: self.unsent.overflowed + self.pacer.evicted(),
+            ..self.unsent
+        }
+    }
+
+    /// Returns the time that the waiting datagrams take up the link.
+    #[must_use]
+    pub fn link_delay(&self) -> Millis {
+        self.pacer.delay()
+    }
+
+    /// Returns the time at which the next waiting datagram can be sent, or `None` if none
+    /// waits.
+    #[must_use]
+    pub fn due(&self) -> Option<Millis> {
+        self.pacer.due()
     }
 
     /// Verifies and decodes a datagram of another node.
@@ -80,22 +135,41 @@
     }
 
     /// Sends a packet to the first hop of its header.
-    pub fn send_packet(&mut self, socket: &Socket, header: &protocol::Header, packet: &[u8]) {
+    pub fn send_packet(
+        &mut self,
+        sockets: Sockets<'_>,
+        header: &protocol::Header,
+        packet: &[u8],
+        priority: Priority,
+        now: Millis,
+    ) {
         let Some(next) = header.hops.first() else {
             return;
         };
         header::encode(header, &mut self.encoded);
-        self.sealer.seal(
-            seal::Kind::Packet,
-            &[&self.encoded, packet],
-            &mut self.sealed,
+        let parts: [&[u8]; 2] = [&self.encoded, packet];
+        self.sealer
+            .seal(seal::Kind::Packet, &parts, &mut self.sealed);
+        let datagram = mem::take(&mut self.sealed);
+        self.submit(
+            sockets,
+            Outlet::Packets,
+            next.hop.addr,
+            &datagram,
+            priority,
+            now,
         );
-        let result = socket.send(&self.sealed, next.hop.addr);
-        self.count_failure(&result, next.hop.addr);
+        self.sealed = datagram;
     }
 
     /// Sends a message to another node.
-    pub fn send_message(&mut self, socket: &Socket, to: SocketAddrV4, message: &protocol::Message) {
+    pub fn send_message(
+        &mut self,
+        sockets: Sockets<'_>,
+        to: SocketAddrV4,
+        message: &protocol::Message,
+        now: Millis,
+    ) {
         self.encoded.clear();
         if let Err(error) = rmp_serde::encode::write(&mut self.encoded, message) {
             debug!(to:% = to, error:% = error; "cannot encode message; not sent");
@@ -103,21 +177,85 @@
         }
         self.sealer
             .seal(seal::Kind::Exchange, &[&self.encoded], &mut self.sealed);
-        let result = socket.send(&self.sealed, to);
-        self.count_failure(&result, to);
+        let priority = Priority {
+            class: message_class(message),
+            key: None,
+        };
+        let datagram = mem::take(&mut self.sealed);
+        self.submit(sockets, Outlet::Messages, to, &datagram, priority, now);
+        self.sealed = datagram;
     }
 
-    /// Sends a datagram without a seal.
-    pub fn send_raw(&mut self, socket: &Socket, to: SocketAddrV4, bytes: &[u8]) {
-        let result = socket.send(bytes, to);
-        self.count_failure(&result, to);
+    /// Sends a packet without a seal to a caller.
+    pub fn send_to_caller(
+        &mut self,
+        sockets: Sockets<'_>,
+        to: SocketAddrV4,
+        packet: &[u8],
+        class: Class,
+        now: Millis,
+    ) {
+        let priority = Priority { class, key: None };
+        self.submit(sockets, Outlet::Packets, to, packet, priority, now);
     }
 
-    /// Counts and logs a failed send.
-    fn count_failure(&mut self, result: &io::Result<()>, to: SocketAddrV4) {
-        if let Err(error) = result {
-            self.unsent += 1;
+    /// Sends a packet to the upstream on this host, which takes nothing of the link.
+    pub fn send_local(&mut self, socket: &Socket, to: SocketAddrV4, packet: &[u8]) {
+        self.send_now(socket, to, packet);
+    }
+
+    /// Sends the waiting datagrams that the link can take now.
+    pub fn send_due(&mut self, sockets: Sockets<'_>, now: Millis) {
+        while let Some(datagram) = self.pacer.take(now) {
+            let socket = outlet_socket(sockets, datagram.outlet);
+            self.send_now(socket, datagram.to, &datagram.bytes);
+        }
+    }
+
+    /// Sends a datagram, or lets it wait until the link can take it.
+    fn submit(
+        &mut self,
+        sockets: Sockets<'_>,
+        outlet: Outlet,
+        to: SocketAddrV4,
+        bytes: &[u8],
+        priority: Priority,
+        now: Millis,
+    ) {
+        let datagram = || pacer::Datagram {
+            outlet,
+            to,
+            bytes: bytes.to_vec(),
+        };
+        let Priority { class, key } = priority;
+        match self.pacer.submit(class, key, datagram, bytes.len(), now) {
+            Verdict::Send => self.send_now(outlet_socket(sockets, outlet), to, bytes),
+            Verdict::Queued => {}
+            Verdict::Duplicate => self.unsent.repeated += 1,
+            Verdict::Full => self.unsent.overflowed += 1,
+        }
+    }
+
+    /// Sends a datagram at once. Counts and logs a failure.
+    fn send_now(&mut self, socket: &Socket, to: SocketAddrV4, bytes: &[u8]) {
+        if let Err(error) = socket.send(bytes, to) {
+            self.unsent.failed += 1;
             debug!(to:% = to, error:% = error; "cannot send datagram; dropped");
         }
     }
 }
+
+const fn outlet_socket(sockets: Sockets<'_>, outlet: Outlet) -> &Socket {
+    match outlet {
+        Outlet::Packets => sockets.packets,
+        Outlet::Messages => sockets.messages,
+    }
+}
+
+/// Pages of the configuration must not delay packets; all other messages go first.
+const fn message_class(message: &protocol::Message) -> Class {
+    match message {
+        protocol::Message::Page { .. } => Class::Normal,
+        _ => Class::Control,
+    }
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -12,6 +12,8 @@
 use proptest::prelude::*;
 use yare::parameterized;
 
+const LINK_MBPS: f64 = 100.0;
+
 fn header(hops: usize) -> Header {
     let agent = ServiceHop {
         service: ServiceId(u64::MAX),
@@ -78,7 +80,7 @@
 
 #[test]
 fn datagram_of_another_fleet_is_rejected() {
-    let transport = transport::Transport::new("store 10.0.0.1:80");
+    let transport = transport::Transport::new("store 10.0.0.1:80", LINK_MBPS);
     let sealer = cassiacross::seal::Sealer::new("store 10.0.0.2:80");
     let mut datagram = Vec::new();
     let body = rmp_serde::to_vec(&Message::Want(3)).unwrap();
@@ -100,7 +102,7 @@
 
     #[test]
     fn any_datagram_is_opened_or_rejected(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
-        let transport = transport::Transport::new("secret");
+        let transport = transport::Transport::new("secret", LINK_MBPS);
         prop_assert!(transport.open(&bytes).is_err());
     }
 }
