Request configuration pages in windows

Cause: each request for a newer configuration was answered with all of its pages, and each node asked every 300 ms until it had them. Pages of two encodings of one version, which differ by the former services of their routes, could also be mixed.

Change: config_transfer, out of peer_sync: a node asks for eight missing pages at a time, one request outstanding, of one encoding (by digest), from a node that announced the version: an agent of its failure domain first. Pages go in the least urgent class of the pacer. A node asks the platform after a second without a page, before: a second behind. The message Want is gone; a node of the version before counts the new request as unreadable and answers nothing, and the next node is asked. An encoding error is logged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod chains;
 pub mod change;
 pub mod clock;
+pub mod config_transfer;
 pub mod connection;
 pub mod conntrack;
 pub mod displaced;
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     clock::Millis,
-    platform_sync,
-    protocol::{Heartbeat, MAX_ENTRIES, Message, PAGE_LEN},
+    config_transfer, platform_sync,
+    protocol::{Heartbeat, MAX_ENTRIES, Message},
     roster, routing,
 };
 
@@ -24,35 +24,22 @@
 /// their own.
 const AGENT_HEARTBEAT_PERIOD: Millis = Millis(2_000);
 
-/// Interval between two requests for a newer configuration.
-const REQUEST_INTERVAL: Millis = Millis(300);
-
-/// Time for which this node may lack a version that its peers have before it requests the
-/// configuration from the platform.
+/// Time for which this node may lack a version that its peers have, and get no page of
+/// it, before it requests the configuration from the platform.
 const MAX_CONFIG_LAG: Millis = Millis(1_000);
 
-/// Maximum number of pages of a configuration.
-const MAX_PAGES: u16 = 1_024;
-
-#[derive(Debug)]
-struct ConfigAssembly {
-    version: u64,
-    pages: Vec<Option<Vec<u8>>>,
-}
-
 /// Membership and configuration state of one node.
 #[derive(Debug)]
 pub struct PeerSync {
     roster: roster::Roster,
     config: Option<routing::Config>,
-    encoded_config: Vec<u8>,
+    encoded_config: config_transfer::Encoded,
     seeds: Vec<SocketAddrV4>,
     platform_addresses: Vec<SocketAddrV4>,
     contacted_at: Option<Millis>,
     heartbeat_at: Option<Millis>,
     agent_heartbeat_at: Option<Millis>,
-    assembly: Option<ConfigAssembly>,
-    requested_at: Option<Millis>,
+    download: config_transfer::Download,
     behind_since: Option<Millis>,
     newest_version: u64,
     rng: rngs::SmallRng,
@@ -67,14 +54,13 @@
         Self {
             roster: roster::Roster::new(me, now),
             config: None,
-            encoded_config: Vec::new(),
+            encoded_config: config_transfer::Encoded::default(),
             seeds,
             platform_addresses: Vec::new(),
             contacted_at: None,
             heartbeat_at: None,
             agent_heartbeat_at: None,
-            assembly: None,
-            requested_at: None,
+            download: config_transfer::Download::default(),
             behind_since: None,
             newest_version: 0,
             rng: rngs::SmallRng::seed_from_u64(seed),
@@ -127,12 +113,15 @@
             return false;
         }
         let config = config.inherit(self.config.as_ref());
-        self.encoded_config = rmp_serde::to_vec(&config).unwrap_or_default();
+        let encoded = rmp_serde::to_vec(&config).unwrap_or_else(|error| {
+            warn!(error:% = error; "cannot encode configuration; peers do not get it from here");
+            Vec::new()
+        });
+        self.encoded_config = config_transfer::Encoded::new(encoded);
         info!(version = config.version, routes = config.routes.len(); "configuration activated");
         self.newest_version = self.newest_version.max(config.version);
         self.config = Some(config);
-        self.assembly = None;
-        self.requested_at = None;
+        self.download = config_transfer::Download::default();
         self.behind_since = None;
         self.broadcast();
         true
@@ -143,13 +132,8 @@
         match message {
             Message::Beat(heartbeat) => self.receive_heartbeat(&heartbeat, now),
             Message::Roster(entries) => self.receive_entries(&entries, now),
-            Message::Want(version) => self.send_pages(from, version),
-            Message::Page {
-                version,
-                index,
-                total,
-                bytes,
-            } => self.receive_page(version, index, total, bytes),
+            Message::WantPages(request) => self.send_pages(from, &request),
+            Message::ConfigPage(page) => self.receive_page(from, page, now),
             Message::Own { .. } | Message::Unowned { .. } => {}
         }
     }
@@ -173,9 +157,8 @@
         }
         if self.newest_version > self.config_version() {
             self.behind_since.get_or_insert(now);
-            if is_due(self.requested_at, REQUEST_INTERVAL, now) {
-                self.requested_at = Some(now);
-                self.request_config();
+            if self.download.is_due(now) {
+                self.request_pages(now);
             }
         }
     }
@@ -183,9 +166,10 @@
     /// Returns what this node has to poll from the platform.
     #[must_use]
     pub fn polling(&self, now: Millis) -> platform_sync::Polling {
-        let behind = self
-            .behind_since
-            .is_some_and(|since| now.since(since) >= MAX_CONFIG_LAG);
+        let progress = self.download.progressed_at();
+        let behind = self.behind_since.is_some_and(|since| {
+            now.since(progress.map_or(since, |at| at.max(since))) >= MAX_CONFIG_LAG
+        });
         let is_balancer = self.roster.me().upstream.is_none();
         platform_sync::Polling {
             config: is_balancer && (self.config.is_none() || behind || self.roster.is_watcher()),
@@ -198,6 +182,8 @@
         let merge = self
             .roster
             .merge(&heartbeat.entry, heartbeat.period, true, now);
+        self.roster
+            .record_config(heartbeat.entry.node, heartbeat.config);
         self.newest_version = self.newest_version.max(heartbeat.config);
         match merge {
             roster::Merge::New => {
@@ -322,82 +308,63 @@
         })
     }
 
-    /// Requests the configuration from a random live node: in half of the cases from one
-    /// in the same failure domain, if there is one.
-    fn request_config(&mut self) {
-        let me = self.roster.me().domain;
-        let alive: Vec<_> = self
+    /// Requests missing pages of the newest version from a node that has it.
+    fn request_pages(&mut self, now: Millis) {
+        if let Some(source) = self.choose_source() {
+            let request = self.download.request(source, self.newest_version, now);
+            self.outbox.push((source, Message::WantPages(request)));
+        }
+    }
+
+    /// Chooses a random live node that has the newest version: an agent in the same
+    /// failure domain if there is one, since a balancer's link carries the packets of many
+    /// upstreams. Any node is chosen after a request without an answer.
+    fn choose_source(&mut self) -> Option<SocketAddrV4> {
+        let domain = self.roster.me().domain;
+        let rank = |entry: &roster::Entry| (entry.domain != domain, entry.upstream.is_none());
+        let mut sources: Vec<_> = self
             .roster
             .peers()
             .iter()
-            .filter(|peer| !peer.silent && peer.direct)
-            .collect();
-        let near: Vec<_> = alive
-            .iter()
-            .filter(|peer| peer.entry.domain == me)
-            .copied()
+            .filter(|peer| !peer.silent && peer.direct && peer.config >= self.newest_version)
+            .map(|peer| &peer.entry)
             .collect();
-        let candidates = if near.is_empty() || self.rng.random_bool(0.5) {
-            &alive
-        } else {
-            &near
-        };
-        if candidates.is_empty() {
-            return;
+        if !self.download.is_stalled() {
+            let best = sources.iter().map(|entry| rank(entry)).min();
+            sources.retain(|entry| Some(rank(entry)) == best);
         }
-        let to = candidates[self.rng.random_range(0..candidates.len())]
-            .entry
-            .control;
-        let version = self.config_version() + 1;
-        self.outbox.push((to, Message::Want(version)));
+        let at = self.rng.random_range(0..sources.len().max(1));
+        sources.get(at).map(|entry| entry.control)
     }
 
-    /// Sends all pages of the configuration, if this node has the requested version or a
-    /// later one.
-    fn send_pages(&mut self, to: SocketAddrV4, version: u64) {
-        if self.config_version() < version {
-            return;
-        }
-        let pages: Vec<_> = self.encoded_config.chunks(PAGE_LEN).collect();
-        let total = u16::try_from(pages.len()).unwrap_or(u16::MAX);
-        let version = self.config_version();
-        for (index, bytes) in (0..total).zip(pages) {
-            let page = Message::Page {
-                version,
-                index,
-                total,
-                bytes: bytes.to_vec(),
-            };
-            self.outbox.push((to, page));
-        }
+    /// Sends the requested pages, if this node has the version or a later one.
+    fn send_pages(&mut self, to: SocketAddrV4, request: &config_transfer::Request) {
+        let pages = self.encoded_config.answer(request, self.config_version());
+        let messages = pages.into_iter().map(Message::ConfigPage);
+        self.outbox.extend(messages.map(|message| (to, message)));
     }
 
-    /// Stores a page of a newer configuration, and activates the configuration once all
-    /// pages have been received.
-    fn receive_page(&mut self, version: u64, index: u16, total: u16, bytes: Vec<u8>) {
-        if version <= self.config_version() || total > MAX_PAGES || index >= total {
+    /// Stores a page of a newer configuration, and requests the next ones from its sender
+    /// or activates the configuration once it is complete.
+    fn receive_page(&mut self, from: SocketAddrV4, page: config_transfer::Page, now: Millis) {
+        let version = page.version;
+        if version <= self.config_version() {
             return;
         }
-        let matches = self
-            .assembly
-            .as_ref()
-            .is_some_and(|a| a.version == version && a.pages.len() == usize::from(total));
-        if !matches {
-            self.assembly = Some(ConfigAssembly {
-                version,
-                pages: vec![None; usize::from(total)],
-            });
-        }
-        let Some(assembly) = &mut self.assembly else {
-            return;
-        };
-        assembly.pages[usize::from(index)] = Some(bytes);
-        if assembly.pages.iter().any(Option::is_none) {
-            return;
+        match self.download.receive(from, page, now) {
+            config_transfer::Progress::Waiting => {}
+            config_transfer::Progress::Next => {
+                let request = self.download.request(from, version, now);
+                self.outbox.push((from, Message::WantPages(request)));
+            }
+            config_transfer::Progress::Complete(encoded) => self.activate(version, &encoded),
         }
-        let encoded: Vec<u8> = assembly.pages.iter().flatten().flatten().copied().collect();
-        self.assembly = None;
-        match rmp_serde::from_slice(&encoded) {
+    }
+
+    /// Decodes and activates a configuration received from peers.
+    fn activate(&mut self, version: u64, encoded: &[u8]) {
+        self.download = config_transfer::Download::default();
+        match rmp_serde::from_slice(encoded) {
             Ok(config) => {
                 self.apply_config(config);
             }
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     clock::Millis,
+    config_transfer,
     header::{self, Hop},
     ident,
     packet::Flow,
@@ -30,9 +31,6 @@
 /// bytes.
 pub const MAX_ENTRIES: usize = 12;
 
-/// Maximum size of one page of the encoded configuration, in bytes.
-pub const PAGE_LEN: usize = 1_000;
-
 /// Error in decoding the header of a packet datagram.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -132,19 +130,10 @@
         /// Flows that it does not own.
         flows: Vec<Flow>,
     },
-    /// Request for the configuration in this version or a later one.
-    Want(u64),
-    /// Page of an encoded configuration.
-    Page {
-        /// Version of the configuration.
-        version: u64,
-        /// Index of this page, from 0.
-        index: u16,
-        /// Total number of pages.
-        total: u16,
-        /// Content of this page.
-        bytes: Vec<u8>,
-    },
+    /// Request for pages of the configuration.
+    WantPages(config_transfer::Request),
+    /// Page of the configuration.
+    ConfigPage(config_transfer::Page),
 }
 
 /// Decodes the body of a `Packet` datagram into header and packet.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -131,6 +131,8 @@
     pub direct: bool,
     /// Whether heartbeats have been missing for more than three and a half periods.
     pub silent: bool,
+    /// Version of the node's configuration, as last announced; 0 for none.
+    pub config: u64,
 }
 
 /// Result of merging an entry.
@@ -230,6 +232,7 @@
             period,
             direct,
             silent: false,
+            config: 0,
         };
         match found {
             Err(at) => self.insert(at, update),
@@ -237,6 +240,16 @@
         }
     }
 
+    /// Records the version of the configuration that a node announced.
+    pub fn record_config(&mut self, node: ident::NodeId, version: u64) {
+        let found = self
+            .rows
+            .binary_search_by_key(&node, |peer| peer.entry.node);
+        if let Ok(at) = found {
+            self.rows[at].config = version;
+        }
+    }
+
     /// Marks silent nodes and removes those without a heartbeat for [`FORGET_AFTER`].
     pub fn tick(&mut self, now: Millis) {
         let gap = now.since(self.ticked);
@@ -413,7 +426,12 @@
         let new_run = update.entry.incarnation > peer.entry.incarnation;
         let returned = peer.silent || (update.direct && !peer.direct);
         let direct = peer.direct || update.direct;
-        *peer = Peer { direct, ..update };
+        let config = if new_run { 0 } else { peer.config };
+        *peer = Peer {
+            direct,
+            config,
+            ..update
+        };
         self.revision += u64::from(newer || returned);
         match (new_run || returned, newer) {
             (true, _) => Merge::New,
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -255,7 +255,7 @@
 /// Pages of the configuration must not delay packets; all other messages go first.
 const fn message_class(message: &protocol::Message) -> Class {
     match message {
-        protocol::Message::Page { .. } => Class::Normal,
+        protocol::Message::ConfigPage(_) => Class::Bulk,
         _ => Class::Control,
     }
 }
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -4,6 +4,7 @@
 
 use cassiacross::{
     clock::Millis,
+    config_transfer,
     ident::{DomainId, Incarnation, NodeId, ServiceId},
     member, peer_sync,
     protocol::{self, Message},
@@ -189,12 +190,13 @@
 fn invalid_page_is_ignored() {
     let mut network = Network::new();
     for (index, total) in [(0, 1), (5, 2), (0, u16::MAX)] {
-        let page = Message::Page {
+        let page = Message::ConfigPage(config_transfer::Page {
             version: 9,
+            digest: 1,
             index,
             total,
             bytes: vec![0xc1; 20],
-        };
+        });
         network.nodes[0].receive(addr(2), page, Millis(0));
     }
     assert_eq!(network.nodes[0].config_version(), 0);
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -83,7 +83,7 @@
     let transport = transport::Transport::new("store 10.0.0.1:80", LINK_MBPS);
     let sealer = cassiacross::seal::Sealer::new("store 10.0.0.2:80");
     let mut datagram = Vec::new();
-    let body = rmp_serde::to_vec(&Message::Want(3)).unwrap();
+    let body = rmp_serde::to_vec(&Message::Roster(Vec::new())).unwrap();
     sealer.seal(cassiacross::seal::Kind::Exchange, &[&body], &mut datagram);
     assert!(matches!(
         transport.open(&datagram),
