--- a/tests/config_transfer.rs
+++ b/tests/config_transfer.rs
@@ -17,10 +17,10 @@
 
 /// Returns the content of a configuration of this many pages, the last one not full.
 fn content(pages: usize, fill: u8) -> Vec<u8> {
-    let len = pages * PAGE_LEN - 1;
-    (0..len)
-        .map(|at| fill.wrapping_add((at / PAGE_LEN) as u8))
-        .collect()
+    let page = |index: u8| [fill.wrapping_add(index); PAGE_LEN];
+    let mut content: Vec<u8> = (0..=u8::MAX).take(pages).flat_map(page).collect();
+    content.pop();
+    content
 }
 
 /// Result of a transfer over a network that loses messages at random.
