Move the decisions on opening packets out of steering

The decisions on SYNs are now steering::opening, and HOMES stands with the candidate chains. No change of behaviour; the tests of steering pass unchanged.

--- a/src/chains.rs
+++ b/src/chains.rs
@@ -7,6 +7,10 @@
 
 use crate::{header::Hop, ident, member, protocol::ServiceHop, rendezvous, roster};
 
+/// Number of home agents per flow: the first candidate of the flow's chain, and the next
+/// one in case the first fails. The owner of the flow announces itself to them.
+pub const HOMES: usize = 2;
+
 /// Maximum number of candidates per bucket.
 pub const CHAIN_LEN: usize = 6;
 
--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -4,12 +4,12 @@
 use serde::Serialize;
 
 use crate::{
+    chains::HOMES,
     clock::Millis,
     ident::{DomainId, Incarnation, NodeId},
     load,
     packet::Flow,
     segment::Segment,
-    steering::HOMES,
 };
 
 /// Time after the opening of a flow within which its first request is expected. Until
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -11,12 +11,14 @@
 //! its home agents, to which the owner has announced itself. If none of them knows the
 //! owner, the last one sends the packet to all other agents of the service.
 
+mod opening;
+
 use std::mem;
 
 use serde::Serialize;
 
 use crate::{
-    chains,
+    chains::{self, HOMES},
     clock::Millis,
     conntrack,
     failure_detector::{self, Evidence},
@@ -25,18 +27,11 @@
     ident::{DomainId, NodeId},
     load, owner_cache,
     packet::Flow,
-    protocol::{BestHop, Header, MAX_FLOWS, Message, Mode, ServiceHop},
+    protocol::{Header, MAX_FLOWS, Message, Mode, ServiceHop},
     roster,
     segment::Segment,
 };
 
-/// Number of home agents per flow: the first candidate of the flow's chain, and the next
-/// one in case the first fails. The owner of the flow announces itself to them.
-pub const HOMES: usize = 2;
-
-/// Time within which a live upstream answers a SYN.
-pub const ANSWER_TIMEOUT: Millis = Millis(100);
-
 /// Lower bound of the time without a packet on any flow with an outstanding request after
 /// which the upstream is probed.
 const MIN_HANG_TIMEOUT: Millis = Millis(500);
@@ -46,15 +41,6 @@
 /// know all other agents yet.
 const SETTLE_QUARTERS: u64 = 5;
 
-/// SYN that was delivered to the upstream and is not answered yet.
-#[derive(Clone, Debug)]
-struct PendingSyn {
-    flow: Flow,
-    token: u32,
-    since: Millis,
-    bytes: Vec<u8>,
-}
-
 /// Reason for dropping a packet.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
 pub enum DropReason {
@@ -160,7 +146,7 @@
     entries: Vec<conntrack::Entry>,
     owners: owner_cache::OwnerCache,
     headers: header_ring::HeaderRing,
-    pending_syns: Vec<PendingSyn>,
+    pending_syns: Vec<opening::PendingSyn>,
     failure: failure_detector::FailureDetector,
     notices: Vec<(Hop, Flow)>,
     /// Roster revision for which the homes were determined.
@@ -328,13 +314,7 @@
         self.expire(now);
         self.update_homes(context);
         self.reset_unowned(context, actions);
-        let overdue: Vec<_> = self
-            .pending_syns
-            .extract_if(.., |syn| now.since(syn.since) >= ANSWER_TIMEOUT)
-            .collect();
-        for syn in overdue {
-            self.handle_unanswered(syn, actions, now);
-        }
+        self.pass_on_unanswered(actions, now);
         if self.is_hanging(now) {
             self.failure.suspect(Evidence::NoTraffic, now);
         }
@@ -388,66 +368,6 @@
         self.service_times.extend(service_time);
     }
 
-    /// Handles a SYN: accepts the flow if a slot is free, otherwise forwards the SYN. The
-    /// last agent of the chain sends it to the candidate with the shortest expected wait,
-    /// or resets the flow if even that wait is too long.
-    fn open_flow(
-        &mut self,
-        context: &mut Context<'_>,
-        mut header: Header,
-        segment: &Segment,
-        bytes: &[u8],
-    ) -> Action {
-        let flow = segment.inbound();
-        let accepts = context.accepts && !self.failure.is_suspected();
-        let expected = self.expected_requests(context.now);
-        if accepts && self.load.has_free_slot(expected) {
-            return self.accept_flow(context, header, segment, bytes);
-        }
-        let own = accepts.then(|| BestHop {
-            candidate: self.own_address,
-            wait: self.load.expected_wait(expected),
-        });
-        header.best = shorter_wait(header.best, own);
-        if header.hops.len() > 1 {
-            return to_next_hop(header);
-        }
-        match header.best.take() {
-            None => Action::Drop(DropReason::Full),
-            Some(best) if best.wait > header.max_wait => Action::Reset(flow, 0),
-            Some(best) if best.candidate.hop.node == self.own_address.hop.node => {
-                self.accept_flow(context, header, segment, bytes)
-            }
-            Some(best) => Action::Send(redirect(header, best.candidate, Mode::Chain)),
-        }
-    }
-
-    /// Starts tracking a flow and delivers its SYN to the upstream.
-    fn accept_flow(
-        &mut self,
-        context: &mut Context<'_>,
-        header: Header,
-        segment: &Segment,
-        bytes: &[u8],
-    ) -> Action {
-        let flow = segment.inbound();
-        let mut entry = conntrack::Entry::new(flow, header.origin, context.now);
-        entry.homes = self.notify_homes(context, &flow, header.origin, entry.homes);
-        match self.find(&flow) {
-            Ok(at) => self.entries[at] = entry,
-            Err(at) => self.entries.insert(at, entry),
-        }
-        self.owners.forget(&flow);
-        let token = self.headers.push(flow, header);
-        self.pending_syns.push(PendingSyn {
-            flow,
-            token,
-            since: context.now,
-            bytes: bytes.to_vec(),
-        });
-        Action::Deliver(token)
-    }
-
     /// Handles a packet of a flow that is not tracked: forwards it to the known owner,
     /// delivers it if flows may be missing from the table, or searches for the owner.
     fn route_untracked(
@@ -579,27 +499,6 @@
         }
     }
 
-    /// Returns the number of new flows whose first request is still expected.
-    fn expected_requests(&self, now: Millis) -> u32 {
-        let awaiting = self
-            .entries
-            .iter()
-            .filter(|entry| entry.awaits_request(now));
-        u32::try_from(awaiting.count()).unwrap_or(u32::MAX)
-    }
-
-    /// Forwards a SYN that the upstream did not answer to the next hop.
-    fn handle_unanswered(&mut self, syn: PendingSyn, actions: &mut Vec<Action>, now: Millis) {
-        self.failure.suspect(Evidence::UnansweredSyn, now);
-        self.remove(&syn.flow);
-        let Some(header) = self.headers.take(syn.token, &syn.flow) else {
-            return;
-        };
-        if let Action::Send(header) = next_hop_or(header, Action::Drop(DropReason::Full)) {
-            actions.push(Action::Resend(header, syn.bytes));
-        }
-    }
-
     /// Returns whether requests are outstanding but no packet has passed on their flows
     /// for ten mean service times, or `MIN_HANG_TIMEOUT` if that is longer.
     fn is_hanging(&self, now: Millis) -> bool {
@@ -652,14 +551,6 @@
     }
 }
 
-/// Returns the candidate with the shorter expected wait.
-fn shorter_wait(a: Option<BestHop>, b: Option<BestHop>) -> Option<BestHop> {
-    match (a, b) {
-        (Some(a), Some(b)) => Some(if b.wait < a.wait { b } else { a }),
-        (a, b) => a.or(b),
-    }
-}
-
 /// Replaces the hops of a header by a single one.
 fn redirect(mut header: Header, to: ServiceHop, mode: Mode) -> Header {
     header.mode = mode;
--- /dev/null
+++ b/src/steering/opening.rs
@@ -0,0 +1,125 @@
+//! Decisions on packets that open a flow: accept, pass on or refuse.
+
+use super::{Action, Context, DropReason, Flows, next_hop_or, redirect, to_next_hop};
+use crate::{
+    clock::Millis,
+    conntrack,
+    failure_detector::Evidence,
+    packet::Flow,
+    protocol::{BestHop, Header, Mode},
+    segment::Segment,
+};
+
+/// Time within which a live upstream answers a SYN.
+const ANSWER_TIMEOUT: Millis = Millis(100);
+
+/// SYN that was delivered to the upstream and is not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingSyn {
+    pub(super) flow: Flow,
+    token: u32,
+    since: Millis,
+    bytes: Vec<u8>,
+}
+
+impl Flows {
+    /// Handles a SYN: accepts the flow if a slot is free, otherwise forwards the SYN. The
+    /// last agent of the chain sends it to the candidate with the shortest expected wait,
+    /// or resets the flow if even that wait is too long.
+    pub(super) fn open_flow(
+        &mut self,
+        context: &mut Context<'_>,
+        mut header: Header,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        let flow = segment.inbound();
+        let accepts = context.accepts && !self.failure.is_suspected();
+        let expected = self.expected_requests(context.now);
+        if accepts && self.load.has_free_slot(expected) {
+            return self.accept_flow(context, header, segment, bytes);
+        }
+        let own = accepts.then(|| BestHop {
+            candidate: self.own_address,
+            wait: self.load.expected_wait(expected),
+        });
+        header.best = shorter_wait(header.best, own);
+        if header.hops.len() > 1 {
+            return to_next_hop(header);
+        }
+        match header.best.take() {
+            None => Action::Drop(DropReason::Full),
+            Some(best) if best.wait > header.max_wait => Action::Reset(flow, 0),
+            Some(best) if best.candidate.hop.node == self.own_address.hop.node => {
+                self.accept_flow(context, header, segment, bytes)
+            }
+            Some(best) => Action::Send(redirect(header, best.candidate, Mode::Chain)),
+        }
+    }
+
+    /// Starts tracking a flow and delivers its SYN to the upstream.
+    fn accept_flow(
+        &mut self,
+        context: &mut Context<'_>,
+        header: Header,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
+        let flow = segment.inbound();
+        let mut entry = conntrack::Entry::new(flow, header.origin, context.now);
+        entry.homes = self.notify_homes(context, &flow, header.origin, entry.homes);
+        match self.find(&flow) {
+            Ok(at) => self.entries[at] = entry,
+            Err(at) => self.entries.insert(at, entry),
+        }
+        self.owners.forget(&flow);
+        let token = self.headers.push(flow, header);
+        self.pending_syns.push(PendingSyn {
+            flow,
+            token,
+            since: context.now,
+            bytes: bytes.to_vec(),
+        });
+        Action::Deliver(token)
+    }
+
+    /// Adds the actions for SYNs that the upstream did not answer in time.
+    pub(super) fn pass_on_unanswered(&mut self, actions: &mut Vec<Action>, now: Millis) {
+        let overdue: Vec<_> = self
+            .pending_syns
+            .extract_if(.., |syn| now.since(syn.since) >= ANSWER_TIMEOUT)
+            .collect();
+        for syn in overdue {
+            self.handle_unanswered(syn, actions, now);
+        }
+    }
+
+    /// Returns the number of new flows whose first request is still expected.
+    fn expected_requests(&self, now: Millis) -> u32 {
+        let awaiting = self
+            .entries
+            .iter()
+            .filter(|entry| entry.awaits_request(now));
+        u32::try_from(awaiting.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Forwards a SYN that the upstream did not answer to the next hop.
+    fn handle_unanswered(&mut self, syn: PendingSyn, actions: &mut Vec<Action>, now: Millis) {
+        self.failure.suspect(Evidence::UnansweredSyn, now);
+        self.remove(&syn.flow);
+        let Some(header) = self.headers.take(syn.token, &syn.flow) else {
+            return;
+        };
+        if let Action::Send(header) = next_hop_or(header, Action::Drop(DropReason::Full)) {
+            actions.push(Action::Resend(header, syn.bytes));
+        }
+    }
+}
+
+/// Returns the candidate with the shorter expected wait.
+fn shorter_wait(a: Option<BestHop>, b: Option<BestHop>) -> Option<BestHop> {
+    match (a, b) {
+        (Some(a), Some(b)) => Some(if b.wait < a.wait { b } else { a }),
+        (a, b) => a.or(b),
+    }
+}
