--- a/src/config_transfer.rs
+++ b/src/config_transfer.rs
@@ -76,6 +76,12 @@
         Self { bytes, digest }
     }
 
+    /// Returns whether the configuration has more pages than a node accepts.
+    #[must_use]
+    pub const fn is_too_large(&self) -> bool {
+        self.bytes.len() > MAX_PAGES as usize * PAGE_LEN
+    }
+
     /// Returns the pages that answer a request to a node which has this configuration in
     /// `version`.
     ///
@@ -86,7 +92,7 @@
         let Ok(total) = u16::try_from(self.bytes.len().div_ceil(PAGE_LEN)) else {
             return Vec::new();
         };
-        if version < request.version {
+        if version < request.version || self.is_too_large() {
             return Vec::new();
         }
         let same = version == request.version && request.digest == Some(self.digest);
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -118,6 +118,9 @@
             Vec::new()
         });
         self.encoded_config = config_transfer::Encoded::new(encoded);
+        if self.encoded_config.is_too_large() {
+            warn!(version = config.version; "configuration is too large for peers; they read it from the platform");
+        }
         info!(version = config.version, routes = config.routes.len(); "configuration activated");
         self.newest_version = self.newest_version.max(config.version);
         self.config = Some(config);
--- a/tests/config_transfer.rs
+++ b/tests/config_transfer.rs
@@ -97,6 +97,17 @@
     assert!(transfer.pages <= 70 * 3 / 2, "{} pages", transfer.pages);
 }
 
+#[test]
+fn too_large_configuration_is_not_sent() {
+    let mut download = Download::default();
+    let request = download.request(node(1), VERSION, Millis(0));
+    let largest = Encoded::new(vec![0; 1_024 * PAGE_LEN]);
+    assert_eq!(largest.answer(&request, VERSION).len(), WINDOW);
+    let larger = Encoded::new(vec![0; 1_024 * PAGE_LEN + 1]);
+    assert!(larger.is_too_large());
+    assert_eq!(larger.answer(&request, VERSION), []);
+}
+
 #[test]
 fn node_with_an_earlier_version_does_not_answer() {
     let mut download = Download::default();
