--- a/src/routing.rs
+++ b/src/routing.rs
@@ -19,6 +19,10 @@
 /// last change of the service's agents.
 const OPEN_FLOW_HOPS: usize = 3;
 
+/// Time between the first SYN of a flow and each of its copies. Callers count the copies in
+/// the acknowledgement number.
+const COPY_AGES: [Millis; 3] = [Millis(0), Millis(200), Millis(600)];
+
 /// Maximum number of former services kept per address.
 const MAX_FORMER: usize = 4;
 
@@ -190,7 +194,8 @@
 /// Builds the encapsulation header of a caller's packet.
 ///
 /// A packet that opens a flow is sent along the chain of one service. Each retransmitted
-/// copy of it starts one hop later, in case the first agent has failed. Any other packet
+/// copy of it starts one hop later, in case the first agent has failed, and what its caller
+/// has waited already counts towards the maximum latency. Any other packet
 /// is sent to the home agents of its flow in all services to which the flow may belong.
 pub fn build_header(
     config: Option<&Config>,
@@ -204,10 +209,13 @@
     let hash = segment.inbound().hash(seed);
     let picked = route.pick_service(hash).ok_or(Refusal::NoAgents)?;
     let origin = roster.me().domain;
-    let hops = if segment.syn {
-        syn_hops(tables.chains(picked, roster), origin, hash, segment.ack)
+    let (hops, age) = if segment.syn {
+        let copy = usize::try_from(segment.ack).unwrap_or(usize::MAX);
+        let hops = syn_hops(tables.chains(picked, roster), origin, hash, copy);
+        (hops, COPY_AGES[copy.min(COPY_AGES.len() - 1)])
     } else {
-        flow_hops(route, picked, tables, roster, origin, hash)
+        let hops = flow_hops(route, picked, tables, roster, origin, hash);
+        (hops, Millis(0))
     };
     if hops.is_empty() {
         return Err(Refusal::NoAgents);
@@ -217,7 +225,7 @@
         mode: protocol::Mode::Chain,
         origin,
         hops,
-        max_wait: route.max_wait(),
+        max_wait: route.max_wait() - age,
         best: None,
         requester: None,
     })
@@ -251,12 +259,12 @@
     chains: &mut chains::Chains,
     origin: DomainId,
     hash: u64,
-    copy: u32,
+    copy: usize,
 ) -> Vec<protocol::ServiceHop> {
     let mut hops: Vec<_> = chains.chain(origin, hash).collect();
     if !hops.is_empty() {
         let len = hops.len();
-        hops.rotate_left(usize::try_from(copy).unwrap_or(0) % len);
+        hops.rotate_left(copy % len);
     }
     hops
 }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -203,3 +203,32 @@
     let header = header(&config, &segment(4_000, true)).unwrap();
     assert_eq!(header.max_wait, Millis(max_wait));
 }
+
+/// The caller of a copy has waited already: 200 ms for the first, 600 ms for the second.
+#[parameterized(
+    first_syn = { 0, 250 },
+    first_copy = { 1, 50 },
+    second_copy = { 2, 0 },
+    unknown_copy = { 9, 0 },
+)]
+fn syn_copy_may_wait_less(copy: u32, max_wait: u64) {
+    let mut config = config(1, vec![target(LEDGER, 1)]);
+    config.routes[0].target = Millis(500);
+    let syn = Segment {
+        ack: copy,
+        ..segment(4_000, true)
+    };
+    let header = header(&config, &syn).unwrap();
+    assert_eq!(header.max_wait, Millis(max_wait));
+}
+
+#[test]
+fn acknowledgement_of_an_open_flow_is_no_copy_count() {
+    let config = config(1, vec![target(LEDGER, 1)]);
+    let packet = Segment {
+        ack: 2,
+        ..segment(4_000, false)
+    };
+    let header = header(&config, &packet).unwrap();
+    assert_eq!(header.max_wait, Millis(100));
+}
