Report the liveness of a failure domain to others by digests

Cause: each node sent heartbeats to all balancers and all agents of its service, so that their number grew with the square of the fleet.

Change: periodic heartbeats stay within a failure domain. Two of its balancers, by rendezvous hashing for each receiver, send digests of the nodes that are alive and the list of the missing ones (domain_digest). A receiver with the same digest takes them all for alive, another requests the entries. A node that its domain lists as missing, or that is not reported, is probed before it counts as silent, so that lost balancers make no domain silent. Changes of an entry still go to all nodes at once; a new configuration is announced within the domain and by the digests. The period follows the nodes of the own domain.

Ruled out: a list of all live nodes in each report (half a datagram a receiver instead of 100 bytes); relays in the receivers' domains, whose loss would need a second election.

A node of the version before counts digests and probes as unreadable. It gets a heartbeat every 20 s that announces this period, so that it keeps the nodes of other domains; it notices their death late.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod connection;
 pub mod conntrack;
 pub mod displaced;
+pub mod domain_digest;
 pub mod endpoint;
 pub mod exchange;
 pub mod failure_detector;
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -1,7 +1,8 @@
 //! Synchronises membership and configuration among the nodes of pass-through services.
 //!
-//! Nodes exchange heartbeats, membership entries and pages of the configuration. The
-//! platform, the seed addresses and the peers are independent sources of this state; a
+//! Nodes exchange heartbeats, digests of failure domains, membership entries and pages of
+//! the configuration. Periodic heartbeats stay within a failure domain; changes of a node's
+//! entry are sent to all. The platform, the seed addresses and the peers are independent sources of this state; a
 //! node uses whichever answers first.
 
 use std::net::SocketAddrV4;
@@ -11,7 +12,9 @@
 
 use crate::{
     clock::Millis,
-    config_transfer, platform_sync,
+    config_transfer,
+    domain_digest::{self, must_know_each_other},
+    ident, platform_sync,
     protocol::{Heartbeat, MAX_ENTRIES, Message},
     roster, routing,
 };
@@ -28,6 +31,27 @@
 /// it, before it requests the configuration from the platform.
 const MAX_CONFIG_LAG: Millis = Millis(1_000);
 
+/// Period of a node's heartbeats to nodes of other failure domains. Digests report it there
+/// meanwhile; nodes of a version without digests depend on these heartbeats.
+const FAR_HEARTBEAT_PERIOD: Millis = Millis(20_000);
+
+/// Interval between two probes of nodes of other failure domains that have missed a
+/// report.
+const PROBE_INTERVAL: Millis = Millis(200);
+
+/// Minimum time between two requests for the entries of one failure domain.
+const ENTRIES_INTERVAL: Millis = Millis(300);
+
+/// Recipients of a heartbeat among the nodes that have to know the sender.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Scope {
+    All,
+    /// Nodes of the own failure domain.
+    Domain,
+    /// Nodes of the own failure domain, for a balancer without the agents.
+    DomainBalancers,
+}
+
 /// Membership and configuration state of one node.
 #[derive(Debug)]
 pub struct PeerSync {
@@ -39,6 +63,12 @@
     contacted_at: Option<Millis>,
     heartbeat_at: Option<Millis>,
     agent_heartbeat_at: Option<Millis>,
+    far_heartbeat_at: Option<Millis>,
+    probed_at: Option<Millis>,
+    /// Number of suspected nodes of the own failure domain at the last tick.
+    suspects: usize,
+    /// Times of the last requests for entries, sorted by failure domain.
+    entries_at: Vec<(ident::DomainId, Millis)>,
     download: config_transfer::Download,
     behind_since: Option<Millis>,
     newest_version: u64,
@@ -60,6 +90,10 @@
             contacted_at: None,
             heartbeat_at: None,
             agent_heartbeat_at: None,
+            far_heartbeat_at: None,
+            probed_at: None,
+            suspects: 0,
+            entries_at: Vec::new(),
             download: config_transfer::Download::default(),
             behind_since: None,
             newest_version: 0,
@@ -94,7 +128,7 @@
     /// Modifies this node's entry and sends it to the other nodes at once if it changed.
     pub fn update_self(&mut self, change: impl FnOnce(&mut roster::Entry)) {
         if self.roster.update(change) {
-            self.broadcast();
+            self.send_heartbeats(Scope::All);
         }
     }
 
@@ -107,7 +141,8 @@
 
     /// Activates a configuration if its version is newer. Returns false if it is not.
     ///
-    /// Peers learn of the version from the heartbeats, which are sent at once.
+    /// Peers of the own failure domain learn of the version from the heartbeats, which are
+    /// sent at once, others from the next digests.
     pub fn apply_config(&mut self, config: routing::Config) -> bool {
         if config.version <= self.config_version() {
             return false;
@@ -126,7 +161,7 @@
         self.config = Some(config);
         self.download = config_transfer::Download::default();
         self.behind_since = None;
-        self.broadcast();
+        self.send_heartbeats(Scope::Domain);
         true
     }
 
@@ -137,6 +172,10 @@
             Message::Roster(entries) => self.receive_entries(&entries, now),
             Message::WantPages(request) => self.send_pages(from, &request),
             Message::ConfigPage(page) => self.receive_page(from, page, now),
+            Message::Digest(digest) => self.receive_digest(from, &digest, now),
+            Message::WantEntries(services) => self.send_entries(from, &services, now),
+            Message::Alive(entries) => self.receive_alive(&entries, now),
+            Message::Ping => self.outbox.push((from, self.heartbeat())),
             Message::Own { .. } | Message::Unowned { .. } => {}
         }
     }
@@ -149,14 +188,20 @@
             self.contacted_at = Some(now);
             self.contact_addresses();
         }
-        let period = self.roster.period();
-        if is_due(self.heartbeat_at, period, now) {
+        let suspects = self.roster.suspects(now);
+        let has_new_suspects = suspects > self.suspects;
+        self.suspects = suspects;
+        if is_due(self.heartbeat_at, self.roster.period(), now) {
             self.heartbeat_at = Some(now);
-            let agents = is_due(self.agent_heartbeat_at, AGENT_HEARTBEAT_PERIOD, now);
-            if agents {
-                self.agent_heartbeat_at = Some(now);
-            }
-            self.send_heartbeats(agents);
+            let scope = self.take_due_scope(now);
+            self.send_heartbeats(scope);
+            self.send_digests(now);
+        } else if has_new_suspects {
+            self.send_digests(now);
+        }
+        if is_due(self.probed_at, PROBE_INTERVAL, now) {
+            self.probed_at = Some(now);
+            self.probe_unreported(now);
         }
         if self.newest_version > self.config_version() {
             self.behind_since.get_or_insert(now);
@@ -166,6 +211,20 @@
         }
     }
 
+    /// Returns the recipients to which a heartbeat is due, and records that it is sent.
+    fn take_due_scope(&mut self, now: Millis) -> Scope {
+        if is_due(self.far_heartbeat_at, FAR_HEARTBEAT_PERIOD, now) {
+            self.far_heartbeat_at = Some(now);
+            self.agent_heartbeat_at = Some(now);
+            return Scope::All;
+        }
+        if is_due(self.agent_heartbeat_at, AGENT_HEARTBEAT_PERIOD, now) {
+            self.agent_heartbeat_at = Some(now);
+            return Scope::Domain;
+        }
+        Scope::DomainBalancers
+    }
+
     /// Returns what this node has to poll from the platform.
     #[must_use]
     pub fn polling(&self, now: Millis) -> platform_sync::Polling {
@@ -182,9 +241,8 @@
 
     /// Merges the entry of the sender, and introduces known nodes to it if it is new.
     fn receive_heartbeat(&mut self, heartbeat: &Heartbeat, now: Millis) {
-        let merge = self
-            .roster
-            .merge(&heartbeat.entry, heartbeat.period, true, now);
+        let period = self.expected_period(heartbeat);
+        let merge = self.roster.merge(&heartbeat.entry, period, true, now);
         self.roster
             .record_config(heartbeat.entry.node, heartbeat.config);
         self.newest_version = self.newest_version.max(heartbeat.config);
@@ -201,6 +259,15 @@
         }
     }
 
+    /// Returns the time until a node should be heard or reported again.
+    fn expected_period(&self, heartbeat: &Heartbeat) -> Millis {
+        if heartbeat.period == FAR_HEARTBEAT_PERIOD {
+            self.roster.period()
+        } else {
+            heartbeat.period
+        }
+    }
+
     /// Merges entries received from another node, and sends a heartbeat to each node that
     /// is new here.
     fn receive_entries(&mut self, entries: &[roster::Entry], now: Millis) {
@@ -209,20 +276,14 @@
                 .roster
                 .merge(entry, roster::HEARTBEAT_PERIOD, false, now);
             if merge == roster::Merge::New && must_know_each_other(entry, self.roster.me()) {
-                let heartbeat = self.agent_heartbeat();
-                self.outbox.push((entry.control, heartbeat));
+                self.outbox.push((entry.control, self.heartbeat_to(entry)));
             }
         }
     }
 
     /// Sends a heartbeat and the entries of known live nodes to a node that is new here.
     fn introduce_peers(&mut self, entry: &roster::Entry) {
-        let heartbeat = if uses_agent_period(self.roster.me(), entry) {
-            self.agent_heartbeat()
-        } else {
-            self.heartbeat()
-        };
-        self.outbox.push((entry.control, heartbeat));
+        self.outbox.push((entry.control, self.heartbeat_to(entry)));
         let others: Vec<_> = self
             .roster
             .peers()
@@ -264,43 +325,123 @@
         }
     }
 
-    /// Sends a heartbeat at once to all nodes that must know this one.
-    fn broadcast(&mut self) {
-        self.send_heartbeats(true);
+    /// Sends a heartbeat to the nodes in scope that must know this one.
+    fn send_heartbeats(&mut self, scope: Scope) {
+        let me = self.roster.me();
+        let in_scope = |entry: &roster::Entry| match scope {
+            Scope::All => true,
+            Scope::Domain => entry.domain == me.domain,
+            Scope::DomainBalancers => entry.domain == me.domain && !uses_agent_period(me, entry),
+        };
+        let peers = self.roster.peers().iter().map(|peer| &peer.entry);
+        let heartbeats: Vec<_> = peers
+            .filter(|entry| in_scope(entry) && must_know_each_other(entry, me))
+            .map(|entry| (entry.control, self.heartbeat_to(entry)))
+            .collect();
+        self.outbox.extend(heartbeats);
+    }
+
+    /// Sends the digest of this balancer's failure domain to the nodes of other domains to
+    /// which it reports.
+    fn send_digests(&mut self, now: Millis) {
+        let reports = domain_digest::reports(&self.roster, self.config_version(), now);
+        let messages = reports.into_iter();
+        self.outbox
+            .extend(messages.map(|(to, digest)| (to, Message::Digest(digest))));
     }
 
-    /// Sends a heartbeat to all nodes that must know this one. A balancer leaves out
-    /// agents unless `agents` is set.
-    fn send_heartbeats(&mut self, agents: bool) {
-        let heartbeat = self.heartbeat();
-        let agent_heartbeat = self.agent_heartbeat();
+    /// Applies the digest of another failure domain, and requests the entries of the groups
+    /// that differ.
+    fn receive_digest(&mut self, from: SocketAddrV4, digest: &domain_digest::Digest, now: Millis) {
+        if digest.domain == self.roster.me().domain {
+            return;
+        }
+        let differing = self.roster.apply_digest(digest, now);
+        self.roster.record_config(digest.reporter, digest.config);
+        self.newest_version = self.newest_version.max(digest.config);
+        if !differing.is_empty() && self.take_entries_request(digest.domain, now) {
+            self.outbox.push((from, Message::WantEntries(differing)));
+        }
+    }
+
+    /// Returns whether the entries of a failure domain may be requested now, and records
+    /// the request if so.
+    fn take_entries_request(&mut self, domain: ident::DomainId, now: Millis) -> bool {
+        match self
+            .entries_at
+            .binary_search_by_key(&domain, |(domain, _)| *domain)
+        {
+            Ok(at) => {
+                let due = now.since(self.entries_at[at].1) >= ENTRIES_INTERVAL;
+                if due {
+                    self.entries_at[at].1 = now;
+                }
+                due
+            }
+            Err(at) => {
+                self.entries_at.insert(at, (domain, now));
+                true
+            }
+        }
+    }
+
+    /// Sends the live entries of the own failure domain in the requested groups.
+    fn send_entries(
+        &mut self,
+        to: SocketAddrV4,
+        services: &[Option<ident::ServiceId>],
+        now: Millis,
+    ) {
         let me = self.roster.me();
-        let recipients: Vec<_> = self
-            .roster
-            .peers()
-            .iter()
-            .filter(|peer| must_know_each_other(&peer.entry, me))
-            .filter(|peer| agents || !uses_agent_period(me, &peer.entry))
-            .map(|peer| (peer.entry.control, uses_agent_period(me, &peer.entry)))
+        let peers = self.roster.peers().iter();
+        let alive = peers
+            .filter(|peer| peer.entry.domain == me.domain && !peer.is_suspect(now))
+            .map(|peer| &peer.entry);
+        let entries: Vec<_> = std::iter::once(me)
+            .chain(alive)
+            .filter(|entry| services.contains(&entry.service()))
+            .cloned()
             .collect();
-        for (address, to_agent) in recipients {
-            let heartbeat = if to_agent {
-                &agent_heartbeat
-            } else {
-                &heartbeat
-            };
-            self.outbox.push((address, heartbeat.clone()));
+        for chunk in entries.chunks(MAX_ENTRIES) {
+            self.outbox.push((to, Message::Alive(chunk.to_vec())));
         }
     }
 
+    /// Merges the entries that another failure domain reports alive, and sends a heartbeat
+    /// to each node that is new here.
+    fn receive_alive(&mut self, entries: &[roster::Entry], now: Millis) {
+        let period = self.roster.period();
+        for entry in entries {
+            let merge = self.roster.merge(entry, period, true, now);
+            if merge == roster::Merge::New {
+                info!(node = entry.node.0, control:% = entry.control; "node reported");
+                self.outbox.push((entry.control, self.heartbeat_to(entry)));
+            }
+        }
+    }
+
+    /// Asks the nodes of other failure domains that have missed a report for a heartbeat.
+    fn probe_unreported(&mut self, now: Millis) {
+        let unreported = self.roster.unreported(now);
+        let pings = unreported.map(|entry| (entry.control, Message::Ping));
+        self.outbox.extend(pings);
+    }
+
     fn heartbeat(&self) -> Message {
         self.heartbeat_with_period(self.roster.period())
     }
 
-    /// Creates a heartbeat that announces the longer period of a balancer's heartbeats to
-    /// agents.
-    fn agent_heartbeat(&self) -> Message {
-        self.heartbeat_with_period(AGENT_HEARTBEAT_PERIOD.max(self.roster.period()))
+    /// Creates a heartbeat that announces the time until the next one to this recipient.
+    fn heartbeat_to(&self, recipient: &roster::Entry) -> Message {
+        let me = self.roster.me();
+        let period = if recipient.domain != me.domain {
+            FAR_HEARTBEAT_PERIOD
+        } else if uses_agent_period(me, recipient) {
+            AGENT_HEARTBEAT_PERIOD.max(self.roster.period())
+        } else {
+            self.roster.period()
+        };
+        self.heartbeat_with_period(period)
     }
 
     fn heartbeat_with_period(&self, period: Millis) -> Message {
@@ -382,15 +523,6 @@
     }
 }
 
-/// Returns whether two nodes have to know each other: a balancer has to know all nodes,
-/// an agent all balancers and the agents of its service.
-fn must_know_each_other(a: &roster::Entry, b: &roster::Entry) -> bool {
-    match (a.service(), b.service()) {
-        (Some(a), Some(b)) => a == b,
-        _ => true,
-    }
-}
-
 /// Returns whether `me` sends heartbeats to `other` at the longer period: a balancer to
 /// an agent.
 const fn uses_agent_period(me: &roster::Entry, other: &roster::Entry) -> bool {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Millis,
-    config_transfer,
+    config_transfer, domain_digest,
     header::{self, Hop},
     ident,
     packet::Flow,
@@ -134,6 +134,16 @@
     WantPages(config_transfer::Request),
     /// Page of the configuration.
     ConfigPage(config_transfer::Page),
+    /// Liveness of the sender's failure domain.
+    Digest(domain_digest::Digest),
+    /// Request for the live entries of the receiver's failure domain: its agents of these
+    /// services, and its balancers for `None`.
+    WantEntries(Vec<Option<ident::ServiceId>>),
+    /// Entries of nodes that are alive in the sender's failure domain, at most
+    /// [`MAX_ENTRIES`].
+    Alive(Vec<roster::Entry>),
+    /// Request for a heartbeat.
+    Ping,
 }
 
 /// Decodes the body of a `Packet` datagram into header and packet.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -1,22 +1,25 @@
 //! Membership table of pass-through services: the known balancers and agents, and which
 //! of them are alive.
 //!
-//! Each node sends heartbeats about itself. Failures are not gossiped: each node judges
-//! by itself whether another one is alive. A node whose heartbeats are missing for
-//! several periods is left out of the candidate chains, and is removed from the table
-//! much later.
+//! Each node sends heartbeats about itself within its failure domain; nodes of other
+//! domains are reported alive by balancers there (see [`domain_digest`]). Failures are not
+//! gossiped: each node judges by itself whether another one is alive. A node that is
+//! neither heard nor reported for several periods is left out of the candidate chains, and
+//! is removed from the table much later.
+//!
+//! [`domain_digest`]: crate::domain_digest
 
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, header::Hop, ident, member, store_watch};
+use crate::{clock::Millis, domain_digest, header::Hop, ident, member, store_watch};
 
 /// Minimum heartbeat period of a node.
 pub const HEARTBEAT_PERIOD: Millis = Millis(400);
 
-/// Heartbeat period per known node: with `n` nodes the period is at least `n` times this,
-/// which bounds the heartbeats that one node receives per second.
+/// Heartbeat period per known node of the own failure domain: with `n` nodes the period is
+/// at least `n` times this, which bounds the heartbeats that one node receives per second.
 pub const PERIOD_PER_NODE: Millis = Millis(4);
 
 /// Half heartbeat periods after which a node counts as silent.
@@ -26,6 +29,14 @@
 /// that misses the heartbeats of all others considers itself isolated.
 const MISSED_HALF_PERIODS: u64 = 3;
 
+/// Half heartbeat periods after which a node is suspected, so that its domain no longer
+/// reports it alive.
+const SUSPECT_HALF_PERIODS: u64 = 5;
+
+/// Half heartbeat periods left to probe a node that its domain reports missing, before it
+/// counts as silent.
+const PROBE_HALF_PERIODS: u64 = 3;
+
 /// Time within which an agent that has announced its shutdown is expected back if its
 /// upstream keeps running.
 const RETURN_TIMEOUT: Millis = Millis(8_000);
@@ -121,13 +132,13 @@
 pub struct Peer {
     /// Last entry received of the node.
     pub entry: Entry,
-    /// Time of the last heartbeat of the node, or of the last newer entry of it from
-    /// another node.
+    /// Time of the last heartbeat of the node, of the last report that it is alive, or of
+    /// the last newer entry of it from another node.
     pub heard: Millis,
     /// Heartbeat period that the node announced.
     pub period: Millis,
-    /// Whether a heartbeat of the node itself has been received, not only its entry
-    /// through other nodes.
+    /// Whether a heartbeat of the node has been received, or its entry from a balancer of
+    /// its failure domain, not only its entry through other nodes.
     pub direct: bool,
     /// Whether heartbeats have been missing for more than three and a half periods.
     pub silent: bool,
@@ -135,6 +146,24 @@
     pub config: u64,
 }
 
+impl Peer {
+    /// Returns whether heartbeats or reports have been missing for several periods.
+    #[must_use]
+    pub fn is_suspect(&self, now: Millis) -> bool {
+        self.is_overdue(SUSPECT_HALF_PERIODS, now)
+    }
+
+    /// Returns whether the last heartbeat or report was missed.
+    #[must_use]
+    pub fn has_missed(&self, now: Millis) -> bool {
+        self.is_overdue(MISSED_HALF_PERIODS, now)
+    }
+
+    fn is_overdue(&self, half_periods: u64, now: Millis) -> bool {
+        now.since(self.heard).0 > self.period.0 * half_periods / 2
+    }
+}
+
 /// Result of merging an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Merge {
@@ -191,10 +220,13 @@
     }
 
     /// Returns the heartbeat period of this node, which grows with the number of known
-    /// nodes.
+    /// nodes of its failure domain.
     #[must_use]
     pub fn period(&self) -> Millis {
-        let nodes = u64::try_from(self.rows.len()).unwrap_or(u64::MAX);
+        let domain = self.me.domain;
+        let peers = self.rows.iter();
+        let near = peers.filter(|peer| peer.entry.domain == domain).count();
+        let nodes = u64::try_from(near).unwrap_or(u64::MAX);
         HEARTBEAT_PERIOD.max(Millis(PERIOD_PER_NODE.0.saturating_mul(nodes)))
     }
 
@@ -210,8 +242,8 @@
         true
     }
 
-    /// Merges an entry that was received from the node itself (`direct`) or from another
-    /// node.
+    /// Merges an entry that was received from the node itself or a balancer of its failure
+    /// domain (`direct`), or from another node.
     ///
     /// An entry of this node with a later incarnation means that the wall clock was set
     /// back between two starts of it. This process then takes a still later incarnation.
@@ -250,6 +282,54 @@
         }
     }
 
+    /// Applies a digest of another failure domain: the nodes of its matching groups are
+    /// alive, and those that are missing there are suspected.
+    ///
+    /// Returns the services of the groups that differ from the table.
+    pub fn apply_digest(
+        &mut self,
+        digest: &domain_digest::Digest,
+        now: Millis,
+    ) -> Vec<Option<ident::ServiceId>> {
+        let differing = digest.differing_groups(self);
+        let matching = |service| digest.groups.iter().any(|group| group.service == service);
+        for peer in &mut self.rows {
+            if peer.silent || peer.entry.domain != digest.domain {
+                continue;
+            }
+            let service = peer.entry.service();
+            if digest.missing.binary_search(&peer.entry.node).is_ok() {
+                let half_periods = SILENT_HALF_PERIODS - PROBE_HALF_PERIODS;
+                let age = Millis(peer.period.0 * half_periods / 2);
+                peer.heard = peer.heard.min(now - age);
+            } else if matching(service) && !differing.contains(&service) {
+                peer.heard = now;
+                peer.period = digest.period;
+            }
+        }
+        differing
+    }
+
+    /// Returns the number of suspected nodes of this node's failure domain.
+    #[must_use]
+    pub fn suspects(&self, now: Millis) -> usize {
+        let domain = self.me.domain;
+        let peers = self.rows.iter();
+        peers
+            .filter(|peer| peer.entry.domain == domain && peer.is_suspect(now))
+            .count()
+    }
+
+    /// Returns the nodes of other failure domains that have missed a report and are not
+    /// silent yet.
+    pub fn unreported(&self, now: Millis) -> impl Iterator<Item = &Entry> {
+        let domain = self.me.domain;
+        let peers = self.rows.iter();
+        peers
+            .filter(move |peer| peer.entry.domain != domain && !peer.silent && peer.has_missed(now))
+            .map(|peer| &peer.entry)
+    }
+
     /// Marks silent nodes and removes those without a heartbeat for [`FORGET_AFTER`].
     pub fn tick(&mut self, now: Millis) {
         let gap = now.since(self.ticked);
@@ -264,7 +344,7 @@
             .retain(|peer| now.since(peer.heard) < FORGET_AFTER);
         let mut changed = before != self.rows.len();
         for peer in &mut self.rows {
-            let silent = now.since(peer.heard).0 > peer.period.0 * SILENT_HALF_PERIODS / 2;
+            let silent = peer.is_overdue(SILENT_HALF_PERIODS, now);
             changed |= silent != peer.silent;
             peer.silent = silent;
         }
@@ -310,7 +390,8 @@
         !self.rows.iter().filter(is_contact).any(is_live)
     }
 
-    fn live_balancers(&self) -> impl Iterator<Item = &Peer> {
+    /// Returns the balancers that are alive and not shutting down, without this node.
+    pub fn live_balancers(&self) -> impl Iterator<Item = &Peer> {
         let rows = self.rows.iter();
         rows.filter(|peer| peer.entry.upstream.is_none() && is_live(peer))
     }
@@ -341,7 +422,7 @@
         };
         let deregistered = upstream.state.is_none();
         let silent = peer.silent && !self.is_mostly_silent(upstream.service);
-        let missed = now.since(peer.heard).0 > peer.period.0 * MISSED_HALF_PERIODS / 2;
+        let missed = peer.has_missed(now);
         match (peer.entry.leaving, deregistered) {
             (true, true) => true,
             (false, true) => silent || missed,
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -1,38 +1,21 @@
 //! Propagation of membership and configuration among pass-through nodes.
 
+mod node_network;
+
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use cassiacross::{
     clock::Millis,
     config_transfer,
-    ident::{DomainId, Incarnation, NodeId, ServiceId},
+    ident::ServiceId,
     member, peer_sync,
     protocol::{self, Message},
     record, roster, routing,
 };
-
-const SERVICE: ServiceId = ServiceId(7);
-
-fn addr(node: u16) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, node)
-}
+use node_network::{Network, SERVICE, addr};
 
 fn entry(node: u16, service: Option<ServiceId>) -> roster::Entry {
-    roster::Entry {
-        node: NodeId(u64::from(node)),
-        incarnation: Incarnation(1),
-        change: 0,
-        domain: DomainId(1),
-        control: addr(node),
-        leaving: false,
-        deaf: false,
-        upstream: service.map(|service| roster::Upstream {
-            service,
-            packets: addr(node),
-            state: Some(member::State::Ready),
-            step: 40,
-        }),
-    }
+    node_network::entry(node, 1, service)
 }
 
 fn config(version: u64) -> routing::Config {
@@ -52,97 +35,50 @@
     }
 }
 
-/// Network without latency that delivers messages by address. Addresses in `partitioned`
-/// neither send nor receive.
-struct Network {
-    nodes: Vec<peer_sync::PeerSync>,
-    partitioned: Vec<SocketAddrV4>,
+/// Creates balancers 1 to 3 and agents 11 and 12.
+fn network() -> Network {
+    let entries = vec![
+        entry(1, None),
+        entry(2, None),
+        entry(3, None),
+        entry(11, Some(SERVICE)),
+        entry(12, Some(SERVICE)),
+    ];
+    Network::new(entries, 1)
 }
 
-impl Network {
-    /// Creates balancers 1 to 3 and agents 11 and 12, with balancer 1 as their only seed.
-    fn new() -> Self {
-        let entries = [
-            entry(1, None),
-            entry(2, None),
-            entry(3, None),
-            entry(11, Some(SERVICE)),
-            entry(12, Some(SERVICE)),
-        ];
-        let nodes = entries
-            .into_iter()
-            .zip(1..)
-            .map(|(entry, seed)| peer_sync::PeerSync::new(entry, vec![addr(1)], seed, Millis(0)))
-            .collect();
-        Self {
-            nodes,
-            partitioned: Vec::new(),
-        }
-    }
-
-    fn run(&mut self, from: Millis, to: Millis) {
-        let mut now = from;
-        while now < to {
-            now = now + Millis(100);
-            for node in &mut self.nodes {
-                node.tick(now);
-            }
-            while self.deliver(now) {}
-        }
-    }
-
-    fn deliver(&mut self, now: Millis) -> bool {
-        let mut messages: Vec<(SocketAddrV4, SocketAddrV4, Message)> = Vec::new();
-        for node in &mut self.nodes {
-            let from = node.roster().me().control;
-            messages.extend(node.outgoing().map(|(to, message)| (from, to, message)));
-        }
-        let delivered = !messages.is_empty();
-        messages.retain(|(from, to, _)| {
-            !self.partitioned.contains(from) && !self.partitioned.contains(to)
-        });
-        for (from, to, message) in messages {
-            let mut nodes = self.nodes.iter_mut();
-            if let Some(node) = nodes.find(|node| node.roster().me().control == to) {
-                node.receive(from, message, now);
-            }
-        }
-        delivered
-    }
-
-    fn known(&self, at: usize) -> Vec<u64> {
-        let peers = self.nodes[at].roster().peers();
-        peers.iter().map(|peer| peer.entry.node.0).collect()
-    }
+fn known(network: &Network, at: usize) -> Vec<u64> {
+    let peers = network.nodes[at].roster().peers();
+    peers.iter().map(|peer| peer.entry.node.0).collect()
 }
 
 #[test]
 fn all_nodes_discover_each_other_through_one_seed() {
-    let mut network = Network::new();
-    network.run(Millis(0), Millis(1_000));
-    assert_eq!(network.known(1), [1, 3, 11, 12]);
-    assert_eq!(network.known(3), [1, 2, 3, 12]);
+    let mut network = network();
+    network.run_until(Millis(1_000));
+    assert_eq!(known(&network, 1), [1, 3, 11, 12]);
+    assert_eq!(known(&network, 3), [1, 2, 3, 12]);
 }
 
 #[test]
 fn one_address_from_the_platform_is_enough() {
-    let mut network = Network::new();
+    let mut network = network();
     network.partitioned.push(addr(1));
-    network.run(Millis(0), Millis(1_000));
-    assert!(network.known(3).is_empty());
+    network.run_until(Millis(1_000));
+    assert!(known(&network, 3).is_empty());
     for node in &mut network.nodes {
         node.set_platform_addresses(vec![addr(2)]);
     }
-    network.run(Millis(1_000), Millis(2_000));
-    assert_eq!(network.known(3), [2, 3, 12]);
+    network.run_until(Millis(2_000));
+    assert_eq!(known(&network, 3), [2, 3, 12]);
 }
 
 #[test]
 fn configuration_reaches_nodes_without_platform_access() {
-    let mut network = Network::new();
-    network.run(Millis(0), Millis(500));
+    let mut network = network();
+    network.run_until(Millis(500));
     assert!(network.nodes[0].apply_config(config(5)));
-    network.run(Millis(500), Millis(2_500));
+    network.run_until(Millis(2_500));
     for node in &network.nodes {
         assert_eq!(node.config_version(), 5);
         assert_eq!(node.config().map(|config| config.routes.len()), Some(200));
@@ -151,7 +87,7 @@
 
 #[test]
 fn older_configuration_is_ignored() {
-    let mut network = Network::new();
+    let mut network = network();
     assert!(network.nodes[0].apply_config(config(5)));
     assert!(!network.nodes[0].apply_config(config(4)));
     assert!(!network.nodes[0].apply_config(config(5)));
@@ -160,27 +96,27 @@
 
 #[test]
 fn reconnected_node_gets_the_newer_configuration() {
-    let mut network = Network::new();
-    network.run(Millis(0), Millis(500));
+    let mut network = network();
+    network.run_until(Millis(500));
     network.partitioned.push(addr(3));
     network.nodes[0].apply_config(config(5));
-    network.run(Millis(500), Millis(3_000));
+    network.run_until(Millis(3_000));
     assert_eq!(network.nodes[2].config_version(), 0);
     network.partitioned.clear();
-    network.run(Millis(3_000), Millis(6_000));
+    network.run_until(Millis(6_000));
     assert_eq!(network.nodes[2].config_version(), 5);
 }
 
 #[test]
 fn state_change_is_sent_at_once() {
-    let mut network = Network::new();
-    network.run(Millis(0), Millis(1_000));
+    let mut network = network();
+    network.run_until(Millis(1_000));
     network.nodes[3].update_self(|me| {
         if let Some(upstream) = &mut me.upstream {
             upstream.state = Some(member::State::Draining);
         }
     });
-    while network.deliver(Millis(1_000)) {}
+    while network.deliver() {}
     let ready = network.nodes[1].roster().ready_agents(SERVICE);
     let ready: Vec<_> = ready.iter().map(|entry| entry.node.0).collect();
     assert_eq!(ready, [12]);
@@ -188,7 +124,7 @@
 
 #[test]
 fn invalid_page_is_ignored() {
-    let mut network = Network::new();
+    let mut network = network();
     for (index, total) in [(0, 1), (5, 2), (0, u16::MAX)] {
         let page = Message::ConfigPage(config_transfer::Page {
             version: 9,
