Apply digests in domain_digest, so that roster does not import it

No change of behaviour: the roster records what is reported alive or missing, and domain_digest decides from a digest what that is. The two modules stood in a circle.

--- a/src/domain_digest.rs
+++ b/src/domain_digest.rs
@@ -81,22 +81,34 @@
         }
     }
 
-    /// Returns the services of the groups in which the receiver's table differs from the
-    /// reporter's.
-    #[must_use]
-    pub fn differing_groups(&self, roster: &roster::Roster) -> Vec<Option<ident::ServiceId>> {
+    /// Applies the digest to the receiver's table: the nodes of the groups that agree with
+    /// it are alive, and those that are missing are suspected.
+    ///
+    /// Returns the services of the groups that differ.
+    pub fn apply(&self, roster: &mut roster::Roster, now: Millis) -> Vec<Option<ident::ServiceId>> {
+        let own = self.own_groups(roster);
+        let (equal, differing): (Vec<&Group>, Vec<&Group>) =
+            self.groups.iter().partition(|group| own.contains(group));
+        let equal: Vec<_> = equal.iter().map(|group| group.service).collect();
+        let is_alive =
+            |entry: &roster::Entry| self.is_listed_alive(entry) && equal.contains(&entry.service());
+        roster.report_alive(is_alive, self.period, now);
+        for node in &self.missing {
+            roster.report_missing(*node, now);
+        }
+        differing.iter().map(|group| group.service).collect()
+    }
+
+    /// Returns the digests of the domain's nodes that are alive according to the receiver's
+    /// table and not missing.
+    fn own_groups(&self, roster: &roster::Roster) -> Vec<Group> {
         let rows = roster.peers().iter();
-        let alive = rows.filter(|peer| {
-            peer.entry.domain == self.domain
-                && !peer.silent
-                && self.missing.binary_search(&peer.entry.node).is_err()
-        });
-        let own = group(alive.map(|peer| &peer.entry));
-        let reported = self.groups.iter();
-        reported
-            .filter(|group| !own.contains(group))
-            .map(|group| group.service)
-            .collect()
+        let alive = rows.filter(|peer| !peer.silent && self.is_listed_alive(&peer.entry));
+        group(alive.map(|peer| &peer.entry))
+    }
+
+    fn is_listed_alive(&self, entry: &roster::Entry) -> bool {
+        entry.domain == self.domain && self.missing.binary_search(&entry.node).is_err()
     }
 }
 
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -356,7 +356,7 @@
         if digest.domain == self.roster.me().domain {
             return;
         }
-        let differing = self.roster.apply_digest(digest, now);
+        let differing = digest.apply(&mut self.roster, now);
         self.roster.record_config(digest.reporter, digest.config);
         self.newest_version = self.newest_version.max(digest.config);
         if !differing.is_empty() && self.take_entries_request(digest.domain, now) {
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, domain_digest, header::Hop, ident, member, store_watch};
+use crate::{clock::Millis, header::Hop, ident, member, store_watch};
 
 /// Minimum heartbeat period of a node.
 pub const HEARTBEAT_PERIOD: Millis = Millis(400);
@@ -282,32 +282,33 @@
         }
     }
 
-    /// Applies a digest of another failure domain: the nodes of its matching groups are
-    /// alive, and those that are missing there are suspected.
-    ///
-    /// Returns the services of the groups that differ from the table.
-    pub fn apply_digest(
+    /// Records that the nodes whose entries satisfy `is_reported` are alive according to
+    /// their failure domain. A silent node stays silent until its entry is received.
+    pub fn report_alive(
         &mut self,
-        digest: &domain_digest::Digest,
+        is_reported: impl Fn(&Entry) -> bool,
+        period: Millis,
         now: Millis,
-    ) -> Vec<Option<ident::ServiceId>> {
-        let differing = digest.differing_groups(self);
-        let matching = |service| digest.groups.iter().any(|group| group.service == service);
-        for peer in &mut self.rows {
-            if peer.silent || peer.entry.domain != digest.domain {
-                continue;
-            }
-            let service = peer.entry.service();
-            if digest.missing.binary_search(&peer.entry.node).is_ok() {
-                let half_periods = SILENT_HALF_PERIODS - PROBE_HALF_PERIODS;
-                let age = Millis(peer.period.0 * half_periods / 2);
-                peer.heard = peer.heard.min(now - age);
-            } else if matching(service) && !differing.contains(&service) {
-                peer.heard = now;
-                peer.period = digest.period;
-            }
+    ) {
+        let peers = self.rows.iter_mut();
+        for peer in peers.filter(|peer| !peer.silent && is_reported(&peer.entry)) {
+            peer.heard = now;
+            peer.period = period;
+        }
+    }
+
+    /// Records that a node is reported missing in its failure domain. It counts as silent
+    /// soon unless it is heard.
+    pub fn report_missing(&mut self, node: ident::NodeId, now: Millis) {
+        let found = self
+            .rows
+            .binary_search_by_key(&node, |peer| peer.entry.node);
+        if let Ok(at) = found {
+            let peer = &mut self.rows[at];
+            let half_periods = SILENT_HALF_PERIODS - PROBE_HALF_PERIODS;
+            let age = Millis(peer.period.0 * half_periods / 2);
+            peer.heard = peer.heard.min(now - age);
         }
-        differing
     }
 
     /// Returns the number of suspected nodes of this node's failure domain.
--- a/tests/domain_digest.rs
+++ b/tests/domain_digest.rs
@@ -73,7 +73,8 @@
     let digest = Digest::new(&reporter, &receiver, 5, Millis(0));
     let mut others = near.to_vec();
     others.push(entry(1, 1, None));
-    assert_eq!(digest.differing_groups(&roster_of(receiver, &others)), []);
+    let mut table = roster_of(receiver, &others);
+    assert_eq!(digest.apply(&mut table, Millis(0)), []);
 }
 
 #[test]
@@ -88,8 +89,8 @@
     let mut changed = near.to_vec();
     changed[0].change += 1;
     changed.push(entry(1, 1, None));
-    let table = roster_of(receiver, &changed);
-    assert_eq!(digest.differing_groups(&table), [Some(SERVICE)]);
+    let mut table = roster_of(receiver, &changed);
+    assert_eq!(digest.apply(&mut table, Millis(0)), [Some(SERVICE)]);
 }
 
 #[test]
