Send entries to a node that joins only if it does not know the fleet

Cause: each node that heard of a new one sent it all entries that it knew, so that a restart at 195 nodes cost about 195 times 21 kB, most of it between failure domains.

Change: a heartbeat to a node of another failure domain that announces the long period shows that its sender has learned of the receiver from entries; it is answered by a heartbeat only. Seeds, and nodes of the own domain, still send their entries, and digests find what is missing.

Test: a node that joins gets no entries from other domains, and all nodes know each other at once.

--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -239,7 +239,8 @@
         }
     }
 
-    /// Merges the entry of the sender, and introduces known nodes to it if it is new.
+    /// Merges the entry of the sender. If it is new, it gets a heartbeat, and the entries of
+    /// known nodes unless it knows the fleet already.
     fn receive_heartbeat(&mut self, heartbeat: &Heartbeat, now: Millis) {
         let period = self.expected_period(heartbeat);
         let merge = self.roster.merge(&heartbeat.entry, period, true, now);
@@ -253,7 +254,11 @@
                     control:% = heartbeat.entry.control;
                     "node discovered"
                 );
-                self.introduce_peers(&heartbeat.entry);
+                self.outbox
+                    .push((heartbeat.entry.control, self.heartbeat_to(&heartbeat.entry)));
+                if !is_far(heartbeat) {
+                    self.introduce_peers(&heartbeat.entry);
+                }
             }
             roster::Merge::Changed | roster::Merge::Same | roster::Merge::Old => {}
         }
@@ -261,7 +266,7 @@
 
     /// Returns the time until a node should be heard or reported again.
     fn expected_period(&self, heartbeat: &Heartbeat) -> Millis {
-        if heartbeat.period == FAR_HEARTBEAT_PERIOD {
+        if is_far(heartbeat) {
             self.roster.period()
         } else {
             heartbeat.period
@@ -281,9 +286,8 @@
         }
     }
 
-    /// Sends a heartbeat and the entries of known live nodes to a node that is new here.
+    /// Sends the entries of known live nodes to a node that is new here.
     fn introduce_peers(&mut self, entry: &roster::Entry) {
-        self.outbox.push((entry.control, self.heartbeat_to(entry)));
         let others: Vec<_> = self
             .roster
             .peers()
@@ -523,6 +527,12 @@
     }
 }
 
+/// Returns whether the sender of a heartbeat knows the fleet: it knows that this node
+/// belongs to another failure domain, which it has learned from the entries of others.
+fn is_far(heartbeat: &Heartbeat) -> bool {
+    heartbeat.period == FAR_HEARTBEAT_PERIOD
+}
+
 /// Returns whether `me` sends heartbeats to `other` at the longer period: a balancer to
 /// an agent.
 const fn uses_agent_period(me: &roster::Entry, other: &roster::Entry) -> bool {
--- a/tests/domain_digest.rs
+++ b/tests/domain_digest.rs
@@ -162,6 +162,26 @@
     );
 }
 
+/// A node that starts gets the entries of the fleet from the seed and from its own domain.
+#[test]
+fn joining_node_gets_no_entries_from_most_of_the_fleet() {
+    let mut network = fleet(5, 3, 7, 1);
+    let joining = entry(2_000, 1, Some(SERVICE));
+    let (seeds, now) = (vec![addr(1)], network.now);
+    let sync = peer_sync::PeerSync::new(joining, seeds, 99, now);
+    network.nodes.push(sync);
+    network.between_domains.clear();
+    network.step();
+    let is_roster = |message: &&Message| matches!(message, Message::Roster(_));
+    assert_eq!(network.between_domains.iter().filter(is_roster).count(), 0);
+    assert_eq!(believers(&network, 2_000), network.nodes.len() - 1);
+    let known = network.nodes[network.nodes.len() - 1]
+        .roster()
+        .peers()
+        .len();
+    assert_eq!(known, network.nodes.len() - 1);
+}
+
 /// A node of a version without digests keeps the nodes of other domains, since each sends
 /// it a heartbeat within the period that its last one announced.
 #[test]
