Let agents settle until other domains have been reported, move polling out

Cause: with digests an agent settled after 500 ms where it was a second at 195 nodes, since the period no longer grows with the fleet. It then reset the flows lost with the fleet's power while upstreams were cold and agents of other domains may not have been reported; the callers came back at once and used up their attempts.

Change: ten quarters of the period, a heartbeat and a digest with a quarter of margin each, before: five.

--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -21,8 +21,7 @@
     clock::{self, Millis},
     conntrack, header, ident, member, pacer,
     packet::Flow,
-    peer_sync, platform_sync, protocol, roster, segment, socket, status, steering, telemetry,
-    transport,
+    peer_sync, polling, protocol, roster, segment, socket, status, steering, telemetry, transport,
 };
 
 /// Interval between two ticks.
@@ -142,7 +141,7 @@
     settings: Settings,
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
-    polling: sync::watch::Sender<platform_sync::Polling>,
+    polling: sync::watch::Sender<polling::Polling>,
     telemetry: telemetry::Telemetry,
 ) -> anyhow::Result<()> {
     let (probe_results, mut probe_outcomes) = mpsc::channel(4);
@@ -177,7 +176,7 @@
             Some(listens) = probe_outcomes.recv() => agent.handle_probe_result(listens),
             _ = ticker.tick() => {
                 agent.tick();
-                platform_sync::set_polling(&polling, agent.peers.polling(agent.clock.now()));
+                polling::set(&polling, agent.peers.polling(agent.clock.now()));
             }
         }
         agent.flush();
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    clock, pacer, peer_sync, platform_sync, roster, routing, segment, socket, telemetry, transport,
+    clock, pacer, peer_sync, polling, roster, routing, segment, socket, telemetry, transport,
 };
 
 /// Fifths of the grace period for which a process keeps running after the request to shut
@@ -106,7 +106,7 @@
     codec: segment::Codec,
     mut events: mpsc::Receiver<Event>,
     ready: Arc<AtomicBool>,
-    polling: sync::watch::Sender<platform_sync::Polling>,
+    polling: sync::watch::Sender<polling::Polling>,
     telemetry: telemetry::Telemetry,
 ) -> anyhow::Result<()> {
     let mut balancer = start(&settings, codec, telemetry)?;
@@ -142,7 +142,7 @@
             _ = ticker.tick() => {
                 let now = balancer.clock.now();
                 balancer.peers.tick(now);
-                platform_sync::set_polling(&polling, balancer.peers.polling(now));
+                polling::set(&polling, balancer.peers.polling(now));
             }
         }
         balancer.send_messages();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod packet;
 pub mod peer_sync;
 pub mod platform_sync;
+pub mod polling;
 pub mod protocol;
 pub mod queue;
 pub mod record;
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -14,7 +14,7 @@
     clock::Millis,
     config_transfer,
     domain_digest::{self, must_know_each_other},
-    ident, platform_sync,
+    ident, polling,
     protocol::{Heartbeat, MAX_ENTRIES, Message},
     roster, routing,
 };
@@ -227,13 +227,13 @@
 
     /// Returns what this node has to poll from the platform.
     #[must_use]
-    pub fn polling(&self, now: Millis) -> platform_sync::Polling {
+    pub fn polling(&self, now: Millis) -> polling::Polling {
         let progress = self.download.progressed_at();
         let behind = self.behind_since.is_some_and(|since| {
             now.since(progress.map_or(since, |at| at.max(since))) >= MAX_CONFIG_LAG
         });
         let is_balancer = self.roster.me().upstream.is_none();
-        platform_sync::Polling {
+        polling::Polling {
             config: is_balancer && (self.config.is_none() || behind || self.roster.is_watcher()),
             peers_now: self.roster.lacks_contacts(),
         }
--- a/src/platform_sync.rs
+++ b/src/platform_sync.rs
@@ -16,6 +16,7 @@
     balancer_loop::Event,
     clock::Millis,
     platform::{Consistency, Error},
+    polling::Polling,
     routing,
 };
 
@@ -30,26 +31,6 @@
 /// has contacted.
 const CONTACT_TIMEOUT: Millis = Millis(500);
 
-/// What a process has to poll from the platform.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Polling {
-    /// Whether to watch the configuration: the process is one of the watchers or lacks
-    /// the current version.
-    pub config: bool,
-    /// Whether to read the balancers' addresses without delay, because the process has no
-    /// contacts.
-    pub peers_now: bool,
-}
-
-impl Default for Polling {
-    fn default() -> Self {
-        Self {
-            config: true,
-            peers_now: true,
-        }
-    }
-}
-
 /// Configuration at one revision of the platform.
 #[derive(Debug)]
 pub struct Snapshot {
@@ -86,11 +67,6 @@
     ) -> impl Future<Output = Result<Vec<SocketAddrV4>, Error>>;
 }
 
-/// Publishes what to poll. Wakes the receivers only if it changed.
-pub fn set_polling(polling: &watch::Sender<Polling>, next: Polling) {
-    polling.send_if_modified(|last| std::mem::replace(last, next) != next);
-}
-
 /// Watches the configuration while `polling` asks for it and sends each version to the
 /// event loop. Ends when the event loop has ended.
 pub async fn follow_config(
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -37,9 +37,10 @@
 const MIN_HANG_TIMEOUT: Millis = Millis(500);
 
 /// Time after the start of an agent, in quarters of the longest heartbeat period of the
-/// service's agents, before which it does not reset flows without an owner: it may not
-/// know all other agents yet.
-const SETTLE_QUARTERS: u64 = 5;
+/// service's agents, before which it does not reset flows without an owner. It may not
+/// know all other agents yet: those of another failure domain take a heartbeat there and
+/// the next digest.
+const SETTLE_QUARTERS: u64 = 10;
 
 /// Reason for dropping a packet.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
