Prefer agents of the domain of arrival in each chain

Cause: an agent in the domain of arrival weighed four times as much as one elsewhere, so that with five domains half of all new flows left theirs while slots were free there: a fixed weight, whatever the load.

Change: a chain has two agents of the domain of arrival before each agent of another domain. A new flow leaves its domain when two agents there are full, or do not answer, and open flows are looked up at two agents of the domain and one of another. rendezvous::rank takes the candidates with their indices.

Tests: tests/chains.rs.

--- a/src/chains.rs
+++ b/src/chains.rs
@@ -1,8 +1,9 @@
 //! Candidate chains of a pass-through service: for each hash bucket, the agents of the
 //! service to try in order, ranked by weighted rendezvous hashing.
 //!
-//! There is one set of chains per failure domain in which callers' packets arrive, and
-//! agents in that domain are preferred because traffic between domains is costly. A
+//! There is one set of chains per failure domain in which callers' packets arrive. Agents
+//! in that domain come first because traffic between domains is costly; each chain also has
+//! agents of other domains, so that new flows leave a domain that is full or has failed. A
 //! bucket is ranked when it is first used.
 
 use crate::{header::Hop, ident, member, protocol::ServiceHop, rendezvous, roster};
@@ -14,8 +15,8 @@
 /// Maximum number of candidates per bucket.
 pub const CHAIN_LEN: usize = 6;
 
-/// Weight of an agent in the domain of arrival, relative to an agent in another domain.
-pub const NEAR_WEIGHT: f64 = 4.0;
+/// Number of candidates in the domain of arrival before each candidate of another domain.
+const NEAR_RUN: usize = 2;
 
 /// Marks a bucket that has not been ranked yet.
 const UNRANKED: [u16; CHAIN_LEN] = [rendezvous::NONE - 1; CHAIN_LEN];
@@ -107,21 +108,31 @@
     }
 
     fn rank_bucket(&self, origin: ident::DomainId, bucket: usize) -> [u16; CHAIN_LEN] {
-        let weighted = self.candidates.iter().map(|candidate| {
-            let factor = if candidate.domain == origin {
-                NEAR_WEIGHT
-            } else {
-                1.0
-            };
-            rendezvous::Candidate {
-                weight: candidate.ranked.weight * factor,
-                ..candidate.ranked
-            }
-        });
-        rendezvous::rank(self.service, bucket, weighted)
+        let ranked = |is_near: bool| -> [u16; CHAIN_LEN] {
+            let candidates = (0..rendezvous::NONE).zip(&self.candidates);
+            let side = candidates.filter(|(_, other)| (other.domain == origin) == is_near);
+            let weighted = side.map(|(index, candidate)| (index, candidate.ranked));
+            rendezvous::rank(self.service, bucket, weighted)
+        };
+        interleave(ranked(true), ranked(false))
     }
 }
 
+/// Merges ranked candidates of the domain of arrival and of other domains into one chain.
+fn interleave(near: [u16; CHAIN_LEN], far: [u16; CHAIN_LEN]) -> [u16; CHAIN_LEN] {
+    let is_some = |index: &u16| *index != rendezvous::NONE;
+    let mut near = near.into_iter().filter(is_some);
+    let mut far = far.into_iter().filter(is_some);
+    std::array::from_fn(|at| {
+        let next = if at % (NEAR_RUN + 1) < NEAR_RUN {
+            near.next().or_else(|| far.next())
+        } else {
+            far.next().or_else(|| near.next())
+        };
+        next.unwrap_or(rendezvous::NONE)
+    })
+}
+
 fn to_candidate(entry: &roster::Entry) -> Option<Candidate> {
     let upstream = entry.upstream?;
     let hop = Hop {
--- a/src/rendezvous.rs
+++ b/src/rendezvous.rs
@@ -51,7 +51,7 @@
             Vec::new()
         } else {
             (0..BUCKETS)
-                .map(|bucket| rank(service, bucket, candidates.iter().copied()))
+                .map(|bucket| rank(service, bucket, (0..NONE).zip(candidates.iter().copied())))
                 .collect()
         };
         Self {
@@ -88,15 +88,15 @@
 }
 
 /// Returns the indices of the `LEN` candidates with the highest scores for a bucket, in
-/// descending order, filled up with [`NONE`].
+/// descending order, filled up with [`NONE`]. Each candidate comes with its index.
 #[must_use]
 pub fn rank<const LEN: usize>(
     service: ident::ServiceId,
     bucket: usize,
-    candidates: impl IntoIterator<Item = Candidate>,
+    candidates: impl IntoIterator<Item = (u16, Candidate)>,
 ) -> [u16; LEN] {
     let mut best = [(f64::NEG_INFINITY, NONE); LEN];
-    for (index, candidate) in (0..NONE).zip(candidates) {
+    for (index, candidate) in candidates {
         insert_ranked(&mut best, (score(service, bucket, &candidate), index));
     }
     best.map(|(_, index)| index)
