Read the platform only where a failure domain's watchers do not

Change: only watchers list the balancers periodically, and nodes without contacts. A node without contacts repeats its heartbeat to the seeds every 150 ms, before: 500. After the first read of the configuration a process waits half a second for its peers before it watches.

Tests: tests/platform_sync.rs, two new ones; the test of a node with contacts is now one of a watcher, since others make no call at all.

--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -23,6 +23,10 @@
 /// the platform that have not replied.
 const CONTACT_INTERVAL: Millis = Millis(500);
 
+/// The same while no other node has replied. It is short, because the hosts of a fleet that
+/// comes back start one after the other, and a node without contacts asks the platform.
+const FIRST_CONTACT_INTERVAL: Millis = Millis(150);
+
 /// Period of a balancer's heartbeats to agents. Agents need them to learn where to send
 /// their own.
 const AGENT_HEARTBEAT_PERIOD: Millis = Millis(2_000);
@@ -184,7 +188,12 @@
     /// that have not replied and requests a newer configuration.
     pub fn tick(&mut self, now: Millis) {
         self.roster.tick(now);
-        if is_due(self.contacted_at, CONTACT_INTERVAL, now) {
+        let contact_interval = if self.roster.lacks_contacts() {
+            FIRST_CONTACT_INTERVAL
+        } else {
+            CONTACT_INTERVAL
+        };
+        if is_due(self.contacted_at, contact_interval, now) {
             self.contacted_at = Some(now);
             self.contact_addresses();
         }
@@ -233,9 +242,17 @@
             now.since(progress.map_or(since, |at| at.max(since))) >= MAX_CONFIG_LAG
         });
         let is_balancer = self.roster.me().upstream.is_none();
+        let is_watcher = is_balancer && self.roster.is_watcher();
+        let addresses = if self.roster.lacks_contacts() {
+            polling::Addresses::Now
+        } else if is_watcher {
+            polling::Addresses::Periodic
+        } else {
+            polling::Addresses::Idle
+        };
         polling::Polling {
-            config: is_balancer && (self.config.is_none() || behind || self.roster.is_watcher()),
-            peers_now: self.roster.lacks_contacts(),
+            config: is_watcher || (is_balancer && (self.config.is_none() || behind)),
+            addresses,
         }
     }
 
--- a/src/platform_sync.rs
+++ b/src/platform_sync.rs
@@ -16,19 +16,19 @@
     balancer_loop::Event,
     clock::Millis,
     platform::{Consistency, Error},
-    polling::Polling,
+    polling::{Addresses, Polling},
     routing,
 };
 
 /// Timeout of one watch call. A broken connection is detected soon after it.
 pub const WATCH_TIMEOUT: Millis = Millis(5_000);
 
-/// Interval between two reads of the balancers' addresses by a node that receives
-/// heartbeats from others.
+/// Interval between two reads of the balancers' addresses by a node that has contacts.
 const READ_INTERVAL: Millis = Millis(15_000);
 
 /// Time for which a node without contacts waits for replies from the addresses that it
-/// has contacted.
+/// has contacted, and for which a node that has read the configuration waits to learn
+/// whether it is a watcher.
 const CONTACT_TIMEOUT: Millis = Millis(500);
 
 /// Configuration at one revision of the platform.
@@ -85,8 +85,12 @@
         let sent = match result {
             Ok(snapshot) => {
                 backoff.reset(u32::MAX);
-                after = Some(snapshot.revision);
-                send_snapshot(snapshot, &events).await
+                let is_first = after.replace(snapshot.revision).is_none();
+                let sent = send_snapshot(snapshot, &events).await;
+                if is_first {
+                    time::sleep(CONTACT_TIMEOUT.to_duration()).await;
+                }
+                sent
             }
             Err(Error::Compacted) => {
                 debug!(
@@ -138,11 +142,11 @@
     }
 }
 
-/// Reads the balancers' addresses periodically and sends them to the event loop. Ends
-/// when the event loop has ended.
+/// Reads the balancers' addresses at the start and whenever `polling` asks for it, and
+/// sends them to the event loop. Ends when the event loop has ended.
 ///
-/// A node with contacts reads rarely and accepts stale answers; a node without contacts
-/// keeps reading current ones.
+/// A node with contacts accepts stale answers; a node without contacts keeps reading
+/// current ones.
 pub async fn poll_peers<E>(
     client: &impl PlatformClient,
     seed: u64,
@@ -172,11 +176,25 @@
             }
         };
         time::sleep(wait.to_duration()).await;
-        let contacts_lost = polling.wait_for(|polling| polling.peers_now);
-        consistency = match time::timeout(READ_INTERVAL.to_duration(), contacts_lost).await {
-            Ok(Ok(_)) => Consistency::Strong,
-            Ok(Err(_closed)) => return,
-            Err(_elapsed) => Consistency::Stale,
+        let Some(next) = wait_for_read(&mut polling).await else {
+            return;
         };
+        consistency = next;
+    }
+}
+
+/// Waits until the balancers' addresses have to be read again; `None` if the event loop has
+/// ended.
+async fn wait_for_read(polling: &mut watch::Receiver<Polling>) -> Option<Consistency> {
+    let lacks_contacts = polling.wait_for(|polling| polling.addresses == Addresses::Now);
+    match time::timeout(READ_INTERVAL.to_duration(), lacks_contacts).await {
+        Ok(Ok(_)) => return Some(Consistency::Strong),
+        Ok(Err(_closed)) => return None,
+        Err(_elapsed) => {}
+    }
+    let is_due = polling.wait_for(|polling| polling.addresses != Addresses::Idle);
+    match is_due.await.ok()?.addresses {
+        Addresses::Now => Some(Consistency::Strong),
+        Addresses::Periodic | Addresses::Idle => Some(Consistency::Stale),
     }
 }
--- a/tests/platform_sync.rs
+++ b/tests/platform_sync.rs
@@ -7,7 +7,7 @@
     clock::Millis,
     platform::{Consistency, Error},
     platform_sync::{self, PlatformClient, Snapshot},
-    polling::{self, Polling},
+    polling::{self, Addresses, Polling},
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -64,8 +64,8 @@
     }
 }
 
-const fn polling(config: bool, peers_now: bool) -> Polling {
-    Polling { config, peers_now }
+const fn polling(config: bool, addresses: Addresses) -> Polling {
+    Polling { config, addresses }
 }
 
 /// Runs a future for some seconds and fails if it ends before.
@@ -78,7 +78,7 @@
 async fn process_that_is_not_a_watcher_makes_no_calls() {
     let platform = Platform::default();
     let (events, _inbox) = mpsc::channel::<Event>(64);
-    let (_sender, receiver) = watch::channel(polling(false, false));
+    let (_sender, receiver) = watch::channel(polling(false, Addresses::Idle));
     run(
         platform_sync::follow_config(&platform, 1, events, receiver),
         60,
@@ -87,16 +87,38 @@
     assert_eq!(platform.count(""), 0);
 }
 
+/// A balancer that starts reads the configuration, and learns from its peers that others
+/// watch it.
+#[tokio::test(start_paused = true)]
+async fn new_process_does_not_watch_before_it_knows_its_peers() {
+    let platform = Platform::default();
+    let (events, _inbox) = mpsc::channel::<Event>(64);
+    let (sender, receiver) = watch::channel(polling(true, Addresses::Now));
+    let change = async {
+        time::sleep(Duration::from_millis(300)).await;
+        polling::set(&sender, polling(false, Addresses::Idle));
+        time::sleep(Duration::from_mins(1)).await;
+    };
+    let both = async {
+        tokio::join!(
+            platform_sync::follow_config(&platform, 1, events, receiver),
+            change
+        );
+    };
+    run(both, 60).await;
+    assert_eq!(*platform.calls.borrow(), ["read"]);
+}
+
 #[tokio::test(start_paused = true)]
 async fn watcher_resumes_from_its_last_revision() {
     let platform = Platform::default();
     let (events, _inbox) = mpsc::channel::<Event>(64);
-    let (sender, receiver) = watch::channel(polling(true, false));
+    let (sender, receiver) = watch::channel(polling(true, Addresses::Periodic));
     let change = async {
         time::sleep(Duration::from_secs(6)).await;
-        polling::set(&sender, polling(false, false));
+        polling::set(&sender, polling(false, Addresses::Idle));
         time::sleep(Duration::from_mins(1)).await;
-        polling::set(&sender, polling(true, false));
+        polling::set(&sender, polling(true, Addresses::Periodic));
         time::sleep(Duration::from_secs(6)).await;
     };
     let both = async {
@@ -117,19 +139,41 @@
     down = { true },
 )]
 #[test_macro(tokio::test(start_paused = true))]
-async fn node_with_contacts_reads_addresses_rarely(is_down: bool) {
+async fn watcher_with_contacts_reads_addresses_rarely(is_down: bool) {
     let platform = Platform {
         is_down,
         ..Platform::default()
     };
     let (events, _inbox) = mpsc::channel(64);
-    let (_sender, receiver) = watch::channel(polling(true, false));
+    let (_sender, receiver) = watch::channel(polling(true, Addresses::Periodic));
     let poll = platform_sync::poll_peers(&platform, 1, events, Event::Peers, receiver);
     run(poll, 60).await;
     assert_eq!(platform.count("peers Stale"), 4);
     assert_eq!(platform.count("peers Strong"), 0);
 }
 
+/// The number of calls does not grow with the nodes of a failure domain.
+#[tokio::test(start_paused = true)]
+async fn node_that_is_not_a_watcher_reads_addresses_once_until_it_lacks_contacts() {
+    let platform = Platform::default();
+    let (events, _inbox) = mpsc::channel(64);
+    let (sender, receiver) = watch::channel(polling(false, Addresses::Idle));
+    let change = async {
+        time::sleep(Duration::from_mins(1)).await;
+        assert_eq!(*platform.calls.borrow(), ["peers Stale"]);
+        polling::set(&sender, polling(false, Addresses::Now));
+        time::sleep(Duration::from_secs(1)).await;
+        polling::set(&sender, polling(false, Addresses::Idle));
+        time::sleep(Duration::from_mins(1)).await;
+    };
+    let poll = platform_sync::poll_peers(&platform, 1, events, Event::Peers, receiver);
+    let both = async {
+        tokio::join!(poll, change);
+    };
+    run(both, 122).await;
+    assert!((2..=4).contains(&platform.count("peers")));
+}
+
 #[parameterized(
     up = { false },
     down = { true },
@@ -141,7 +185,7 @@
         ..Platform::default()
     };
     let (events, _inbox) = mpsc::channel(1_024);
-    let (_sender, receiver) = watch::channel(polling(true, true));
+    let (_sender, receiver) = watch::channel(polling(true, Addresses::Now));
     let poll = platform_sync::poll_peers(&platform, 1, events, Event::Peers, receiver);
     run(poll, 20).await;
     assert_eq!(platform.count("peers Stale"), 1);
