--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -1,17 +1,14 @@
 //! Event loop of a pass-through agent: forwards packets between callers and its upstream,
 //! and tracks the upstream's health.
 
-use std::{
-    io,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
-    time::Duration,
-};
+mod actions;
+
+use std::{net::SocketAddrV4, time::Duration};
 
 use anyhow::Context;
 use log::{debug, info, warn};
 use serde::Serialize;
 use tokio::{
-    net::TcpStream,
     sync::{self, mpsc, oneshot},
     time,
 };
@@ -27,9 +24,6 @@
 /// Interval between two ticks.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Timeout of a connection probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Missed reports that are tolerated before the upstream gets no new flows.
 const MAX_MISSED_REPORTS: u64 = 3;
 
@@ -37,12 +31,6 @@
 /// without a packet for that long has reached its idle timeout.
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
-/// Priority of packets that an agent forwards to another one.
-const FORWARDED: transport::Priority = transport::Priority {
-    class: pacer::Class::Normal,
-    key: None,
-};
-
 /// Settings of an agent.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -549,122 +537,4 @@
             self.perform(action, &mut packet);
         }
     }
-
-    /// Carries out the action of a decision on `packet`.
-    fn perform(&mut self, action: steering::Action, packet: &mut [u8]) {
-        match action {
-            steering::Action::Deliver(token) => {
-                (self.codec.stamp)(packet, token);
-                let upstream = self.settings.upstream;
-                self.transport
-                    .send_local(&self.upstream_socket, upstream, packet);
-            }
-            steering::Action::Send(header) => {
-                (self.codec.stamp)(packet, 0);
-                self.forward(&header, packet);
-            }
-            steering::Action::Resend(header, bytes) => self.forward(&header, &bytes),
-            steering::Action::Search(header) => self.send_search(header, packet),
-            steering::Action::Disown(requester, flow) => {
-                let message = protocol::Message::Unowned {
-                    node: self.peers.roster().me().node,
-                    flows: vec![flow],
-                };
-                self.send_message(requester.addr, &message);
-            }
-            steering::Action::Reset(flow, seq) => {
-                let reset = (self.codec.reset)(&flow, seq);
-                self.send_to_caller(*flow.caller.ip(), &reset, pacer::Class::Control);
-            }
-            steering::Action::Probe => self.probe(),
-            steering::Action::Drop(_) | steering::Action::Answer => {}
-        }
-    }
-
-    /// Sends a packet to all other agents of the service.
-    fn send_search(&mut self, mut header: protocol::Header, packet: &mut [u8]) {
-        (self.codec.stamp)(packet, 0);
-        let me = self.peers.roster().me().node;
-        let agents = self.peers.roster().agents(self.service);
-        let others: Vec<_> = agents
-            .filter(|entry| entry.node != me)
-            .filter_map(roster::Entry::hop)
-            .collect();
-        for hop in others {
-            header.hops = vec![protocol::ServiceHop {
-                service: self.service,
-                hop,
-            }];
-            self.forward(&header, packet);
-        }
-    }
-
-    /// Forwards a packet to another agent.
-    fn forward(&mut self, header: &protocol::Header, packet: &[u8]) {
-        let now = self.clock.now();
-        let sockets = single_socket(&self.packet_socket);
-        self.transport
-            .send_packet(sockets, header, packet, FORWARDED, now);
-    }
-
-    fn send_message(&mut self, to: SocketAddrV4, message: &protocol::Message) {
-        let now = self.clock.now();
-        let sockets = single_socket(&self.packet_socket);
-        self.transport.send_message(sockets, to, message, now);
-    }
-
-    fn send_to_caller(&mut self, ip: Ipv4Addr, bytes: &[u8], class: pacer::Class) {
-        let to = SocketAddrV4::new(ip, self.settings.packets.port());
-        let now = self.clock.now();
-        let sockets = single_socket(&self.packet_socket);
-        self.transport
-            .send_to_caller(sockets, to, bytes, class, now);
-    }
-
-    /// Opens a connection to the upstream in a separate task. Only a refused connection
-    /// proves that the upstream no longer listens.
-    fn probe(&self) {
-        let upstream = SocketAddr::V4(self.settings.upstream);
-        let probe_results = self.probe_results.clone();
-        tokio::spawn(async move {
-            let listens = match time::timeout(PROBE_TIMEOUT, TcpStream::connect(upstream)).await {
-                Ok(Ok(_stream)) => true,
-                Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => false,
-                Ok(Err(error)) => {
-                    debug!(error:% = error; "upstream probe was inconclusive");
-                    return;
-                }
-                Err(_elapsed) => {
-                    debug!("upstream probe timed out");
-                    return;
-                }
-            };
-            if probe_results.send(listens).await.is_err() {
-                debug!("agent stopped before its upstream probe finished");
-            }
-        });
-    }
-
-    /// Records service times, and sends pending announcements and messages.
-    fn flush(&mut self) {
-        for service_time in self.flows.drain_service_times() {
-            self.telemetry.observe_service_time(service_time);
-        }
-        for (hop, message) in self.flows.take_notices() {
-            self.send_message(hop.addr, &message);
-        }
-        let now = self.clock.now();
-        let sockets = single_socket(&self.packet_socket);
-        for (to, message) in self.peers.outgoing() {
-            self.transport.send_message(sockets, to, &message, now);
-        }
-        self.transport.send_due(sockets, now);
-    }
-}
-
-const fn single_socket(socket: &socket::Socket) -> transport::Sockets<'_> {
-    transport::Sockets {
-        packets: socket,
-        messages: socket,
-    }
 }
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -20,9 +20,6 @@
 
 use crate::{clock, packet};
 
-/// Prefix length of an interface with a single address.
-const ADDRESS_BITS: u8 = 32;
-
 /// Reason why a flow cannot be read or written any more.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum Error {
@@ -369,12 +366,12 @@
         now: clock::Millis,
     ) -> Self {
         let mut sockets = iface::SocketSet::new(Vec::with_capacity(1));
-        let socket_handle = sockets.add(new_socket(&options));
+        let socket_handle = sockets.add(device::new_socket(&options));
         Self {
             flow,
             inbound,
             options,
-            iface: new_iface(inbound.service, &options, seed, now),
+            iface: device::new_iface(inbound.service, &options, seed, now),
             sockets,
             socket_handle,
             isn: None,
@@ -537,44 +534,6 @@
     }
 }
 
-fn new_socket(options: &Options) -> tcp::Socket<'static> {
-    let receive = tcp::SocketBuffer::new(vec![0; options.receive_buffer]);
-    let transmit = tcp::SocketBuffer::new(vec![0; options.transmit_buffer]);
-    let mut socket = tcp::Socket::new(receive, transmit);
-    socket.set_ack_delay(None);
-    socket.set_nagle_enabled(false);
-    socket.set_keep_alive(Some(duration(options.keep_alive)));
-    socket.set_timeout(Some(duration(options.timeout)));
-    socket
-}
-
-fn new_iface(
-    local: SocketAddrV4,
-    options: &Options,
-    seed: u64,
-    now: clock::Millis,
-) -> iface::Interface {
-    let mut config = iface::Config::new(wire::HardwareAddress::Ip);
-    config.random_seed = seed;
-    let mut device = device::Device {
-        inbound: None,
-        send: &mut |_packet| {},
-        mtu: options.mtu,
-    };
-    let mut iface = iface::Interface::new(config, &mut device, instant(now));
-    let cidr = wire::IpCidr::new(IpAddress::Ipv4(*local.ip()), ADDRESS_BITS);
-    iface.update_ip_addrs(|addresses| {
-        addresses
-            .push(cidr)
-            .expect("a new interface has capacity for an address");
-    });
-    iface
-        .routes_mut()
-        .add_default_ipv4_route(*local.ip())
-        .expect("a new interface has capacity for a route");
-    iface
-}
-
 /// Swaps caller and service: packets from the service parse as a flow in this order.
 const fn reversed(flow: packet::Flow) -> packet::Flow {
     packet::Flow {
