Report capacities from a steadier average

Cause: an agent's capacity followed a moving average of about ten service times. These differ from request to request, so it crossed its hysteresis all the time: each agent of a small deployment changed its entry about once a second. Each change goes to all nodes, throws away all candidate chains, moves flows between agents and makes owners announce flows to new home agents.

Change: the reported capacity follows an average of about a hundred service times, plain for the first hundred; estimates of waits keep the faster one.

--- a/src/load.rs
+++ b/src/load.rs
@@ -5,9 +5,15 @@
 
 use crate::{clock::Millis, member};
 
-/// Weight of a new sample in the moving average of the service time.
+/// Weight of a new sample in the moving average of the service time, from which waits are
+/// estimated.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
+/// Weight of a new sample in the moving average from which the capacity is reported. It is
+/// small, because each change of a reported capacity goes to all nodes and moves flows, and
+/// service times differ from request to request.
+const CAPACITY_SMOOTHING_FACTOR: f64 = 0.01;
+
 /// Number of samples before which the average does not change the reported capacity.
 const MIN_SAMPLES: u32 = 20;
 
@@ -29,6 +35,8 @@
     busy: u32,
     samples: u32,
     mean_ms: f64,
+    /// Slower moving average; a plain average at first.
+    capacity_ms: f64,
     reported_step: u8,
 }
 
@@ -41,6 +49,7 @@
             busy: 0,
             samples: 0,
             mean_ms: INITIAL_MEAN_MS,
+            capacity_ms: INITIAL_MEAN_MS,
             reported_step: 0,
         };
         load.reported_step = load.measured_step();
@@ -74,7 +83,10 @@
             return;
         };
         self.samples = self.samples.saturating_add(1);
-        self.mean_ms += (to_float(service_time) - self.mean_ms) * SMOOTHING_FACTOR;
+        let sample = to_float(service_time);
+        self.mean_ms += (sample - self.mean_ms) * SMOOTHING_FACTOR;
+        let weight = CAPACITY_SMOOTHING_FACTOR.max(1.0 / f64::from(self.samples));
+        self.capacity_ms += (sample - self.capacity_ms) * weight;
     }
 
     /// Returns the number of outstanding requests.
@@ -121,7 +133,9 @@
     }
 
     fn measured_step(&self) -> u8 {
-        member::capacity_step(f64::from(self.slots) * 1_000.0 / self.mean_ms.max(1.0) / UNIT_RATE)
+        member::capacity_step(
+            f64::from(self.slots) * 1_000.0 / self.capacity_ms.max(1.0) / UNIT_RATE,
+        )
     }
 }
 
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -1,6 +1,7 @@
 //! Load and capacity estimate of an upstream.
 
 use cassiacross::{clock::Millis, load::Load};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
 /// Creates a load that has measured 100 requests with the same service time.
@@ -72,3 +73,52 @@
     load.cancel();
     assert_eq!(load.busy(), 0);
 }
+
+/// Ten quantiles of exponentially distributed service times, in milliseconds.
+const SERVICE_TIMES: [u64; 10] = [3, 8, 14, 22, 30, 40, 52, 69, 95, 150];
+
+/// Answers a request with a random service time, multiplied by a factor.
+fn answer(load: &mut Load, factor: u64, rng: &mut SmallRng) {
+    let service_time = SERVICE_TIMES[rng.random_range(0..SERVICE_TIMES.len())];
+    load.begin();
+    load.complete(Some(Millis(service_time * factor)));
+}
+
+/// Each change of a reported capacity goes to all nodes and moves flows between agents, so
+/// an upstream whose requests differ, but which stays the same, must hardly cause any.
+#[test]
+fn reported_capacity_is_steady_while_service_times_vary() {
+    const ANSWERS_PER_CHANGE: usize = 200;
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut load = Load::new(4);
+        let mut last = load.capacity_step();
+        let mut changes = 0;
+        for _ in 0..4_000 {
+            answer(&mut load, 1, &mut rng);
+            let step = load.capacity_step();
+            changes += usize::from(step != last);
+            last = step;
+        }
+        assert!(
+            changes <= 4_000 / ANSWERS_PER_CHANGE,
+            "{changes} changes, seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn reported_capacity_follows_an_upstream_that_turns_slow() {
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut load = Load::new(4);
+        for _ in 0..500 {
+            answer(&mut load, 1, &mut rng);
+        }
+        let before = load.capacity_step();
+        for _ in 0..50 {
+            answer(&mut load, 4, &mut rng);
+        }
+        assert!(load.capacity_step() + 6 < before, "seed {seed}");
+    }
+}
