Send no heartbeats to other domains whose nodes understand digests

Cause: each node still sent a heartbeat to each node of the other domains every 20 s, for nodes of a version without digests, so that control between domains kept a part that grows with the square of the fleet.

Change: a heartbeat that announces the long period shows that its sender understands digests; only other nodes get such heartbeats periodically. A new run of a node has to show it again.

Tests: the test of nodes without digests now plays such a node; before, it counted heartbeats between nodes that understand digests. A quiet fleet sends none between domains over 40 s.

--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -35,8 +35,9 @@
 /// it, before it requests the configuration from the platform.
 const MAX_CONFIG_LAG: Millis = Millis(1_000);
 
-/// Period of a node's heartbeats to nodes of other failure domains. Digests report it there
-/// meanwhile; nodes of a version without digests depend on these heartbeats.
+/// Period of a node's heartbeats to nodes of other failure domains that do not understand
+/// digests. It is announced to all nodes of other domains, which shows that this node
+/// understands them.
 const FAR_HEARTBEAT_PERIOD: Millis = Millis(20_000);
 
 /// Interval between two probes of nodes of other failure domains that have missed a
@@ -50,6 +51,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Scope {
     All,
+    /// Nodes of the own failure domain, and those of others that do not understand digests.
+    Unreported,
     /// Nodes of the own failure domain.
     Domain,
     /// Nodes of the own failure domain, for a balancer without the agents.
@@ -225,7 +228,7 @@
         if is_due(self.far_heartbeat_at, FAR_HEARTBEAT_PERIOD, now) {
             self.far_heartbeat_at = Some(now);
             self.agent_heartbeat_at = Some(now);
-            return Scope::All;
+            return Scope::Unreported;
         }
         if is_due(self.agent_heartbeat_at, AGENT_HEARTBEAT_PERIOD, now) {
             self.agent_heartbeat_at = Some(now);
@@ -261,13 +264,16 @@
     fn receive_heartbeat(&mut self, heartbeat: &Heartbeat, now: Millis) {
         let period = self.expected_period(heartbeat);
         let merge = self.roster.merge(&heartbeat.entry, period, true, now);
-        self.roster
-            .record_config(heartbeat.entry.node, heartbeat.config);
+        let node = heartbeat.entry.node;
+        self.roster.record_config(node, heartbeat.config);
+        if is_far(heartbeat) {
+            self.roster.record_digests(node);
+        }
         self.newest_version = self.newest_version.max(heartbeat.config);
         match merge {
             roster::Merge::New => {
                 info!(
-                    node = heartbeat.entry.node.0,
+                    node = node.0,
                     control:% = heartbeat.entry.control;
                     "node discovered"
                 );
@@ -349,15 +355,19 @@
     /// Sends a heartbeat to the nodes in scope that must know this one.
     fn send_heartbeats(&mut self, scope: Scope) {
         let me = self.roster.me();
-        let in_scope = |entry: &roster::Entry| match scope {
-            Scope::All => true,
-            Scope::Domain => entry.domain == me.domain,
-            Scope::DomainBalancers => entry.domain == me.domain && !uses_agent_period(me, entry),
+        let in_scope = |peer: &roster::Peer| {
+            let is_near = peer.entry.domain == me.domain;
+            match scope {
+                Scope::All => true,
+                Scope::Unreported => is_near || !peer.digests,
+                Scope::Domain => is_near,
+                Scope::DomainBalancers => is_near && !uses_agent_period(me, &peer.entry),
+            }
         };
-        let peers = self.roster.peers().iter().map(|peer| &peer.entry);
+        let peers = self.roster.peers().iter();
         let heartbeats: Vec<_> = peers
-            .filter(|entry| in_scope(entry) && must_know_each_other(entry, me))
-            .map(|entry| (entry.control, self.heartbeat_to(entry)))
+            .filter(|peer| in_scope(peer) && must_know_each_other(&peer.entry, me))
+            .map(|peer| (peer.entry.control, self.heartbeat_to(&peer.entry)))
             .collect();
         self.outbox.extend(heartbeats);
     }
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -144,6 +144,8 @@
     pub silent: bool,
     /// Version of the node's configuration, as last announced; 0 for none.
     pub config: u64,
+    /// Whether a heartbeat of this run of the node showed that it understands digests.
+    pub digests: bool,
 }
 
 impl Peer {
@@ -265,6 +267,7 @@
             direct,
             silent: false,
             config: 0,
+            digests: false,
         };
         match found {
             Err(at) => self.insert(at, update),
@@ -272,6 +275,16 @@
         }
     }
 
+    /// Records that a node understands digests.
+    pub fn record_digests(&mut self, node: ident::NodeId) {
+        let found = self
+            .rows
+            .binary_search_by_key(&node, |peer| peer.entry.node);
+        if let Ok(at) = found {
+            self.rows[at].digests = true;
+        }
+    }
+
     /// Records the version of the configuration that a node announced.
     pub fn record_config(&mut self, node: ident::NodeId, version: u64) {
         let found = self
@@ -509,9 +522,11 @@
         let returned = peer.silent || (update.direct && !peer.direct);
         let direct = peer.direct || update.direct;
         let config = if new_run { 0 } else { peer.config };
+        let digests = peer.digests && !new_run;
         *peer = Peer {
             direct,
             config,
+            digests,
             ..update
         };
         self.revision += u64::from(newer || returned);
