Split membership into rows, liveness, digests and watchers

The lines moved as they were; a few functions are visible to the parent module now. Public names stay membership::NAME. Tests of membership, exchange, balancer and views pass.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -7,11 +7,19 @@
 //! reports whose sequence number no longer grows, so a balancer that is cut off
 //! by a network partition cannot make other balancers consider its agents dead.
 
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3;
+mod digests;
+mod liveness;
+mod rows;
+mod watchers;
 
 use crate::{clock, ident, member};
 
+pub use self::{
+    digests::partition,
+    rows::{BalancerRow, LastHeartbeat, Liveness, LivenessReport, MemberRow, Merge, Tombstone},
+    watchers::{rank_balancers, select_watchers},
+};
+
 /// Maximum number of balancers that an agent sends its heartbeats to.
 pub const WATCHERS: usize = 3;
 
@@ -75,149 +83,6 @@
     }
 }
 
-/// One balancer's report about the liveness of the agents that it watches.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LivenessReport {
-    /// The reporting balancer.
-    pub balancer: ident::NodeId,
-    /// Incarnation of the balancer's process.
-    pub incarnation: ident::Incarnation,
-    /// Sequence number within the incarnation.
-    pub seq: u64,
-    /// Whether the report may be used; false shortly after a start or a pause,
-    /// while the balancer is isolated, and if too many agents are missing.
-    pub vouching: bool,
-    /// The watched agents whose heartbeats are missing, sorted.
-    pub except: Vec<ident::NodeId>,
-}
-
-impl LivenessReport {
-    /// Returns whether the report states that `node`, an agent that the balancer watches,
-    /// is alive.
-    #[must_use]
-    pub fn reports_alive(&self, node: ident::NodeId) -> bool {
-        self.vouching && self.except.binary_search(&node).is_err()
-    }
-}
-
-/// Liveness of an agent, as derived from the reports of its watchers.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Liveness {
-    /// No usable report from a watcher so far; the agent stays active.
-    Unknown,
-    /// At least one watcher reports the agent as alive.
-    Alive,
-    /// At least one watcher has a usable report, and none reports the agent as alive.
-    Dead,
-}
-
-/// Result of merging an entry, a report or a tombstone into the tables.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Merge {
-    /// It was new, or replaced an older one.
-    Applied,
-    /// It was ignored, in most cases because the table holds the same or a newer one.
-    Stale,
-    /// It was rejected: it exceeds a limit, a tombstone or a newer incarnation
-    /// forbids it, the agent that it evicts is not dead here, or its balancer is unknown.
-    Rejected,
-}
-
-/// The last heartbeat that this balancer received from an agent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-pub struct LastHeartbeat {
-    /// Sequence number within the incarnation.
-    pub seq: u64,
-    /// Time of arrival.
-    pub at: clock::Millis,
-    /// Version of the service's record that the agent applies, as last reported.
-    pub version: u64,
-}
-
-/// Row of the agent table.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct MemberRow {
-    /// The newest entry.
-    pub member: member::Member,
-    /// Time at which this incarnation was first seen here.
-    pub learned: clock::Millis,
-    /// The last heartbeat received here, if any.
-    #[serde(rename = "beat")]
-    pub heartbeat: Option<LastHeartbeat>,
-    /// Liveness of the agent.
-    pub liveness: Liveness,
-    /// Time at which the agent was found dead, if it is dead.
-    pub died: Option<clock::Millis>,
-    /// Whether the dead agent stays active because it died in a mass failure.
-    pub held: bool,
-}
-
-impl MemberRow {
-    /// Returns whether hash tables and views include the agent.
-    #[must_use]
-    pub fn is_active(&self) -> bool {
-        self.liveness != Liveness::Dead || self.held
-    }
-
-    fn has_heartbeat(&self, timing: &Timing, now: clock::Millis) -> bool {
-        self.heartbeat
-            .is_some_and(|beat| now.since(beat.at) <= timing.heartbeat_timeout)
-    }
-}
-
-/// Row of the balancer table.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct BalancerRow {
-    /// The newest entry.
-    pub balancer: member::Balancer,
-    /// Time at which this incarnation was first seen here.
-    pub learned: clock::Millis,
-    /// The balancer's last liveness report that arrived here, if any.
-    #[serde(rename = "line")]
-    pub report: Option<LivenessReport>,
-    /// Time at which a report with a higher sequence number last replaced an earlier
-    /// one of the same incarnation.
-    ///
-    /// The first report seen does not count: it may be old and only repeated by gossip.
-    pub progress: Option<clock::Millis>,
-}
-
-impl BalancerRow {
-    /// Returns whether the balancer's report was replaced by a newer one within the
-    /// report timeout.
-    #[must_use]
-    pub fn is_fresh(&self, timing: &Timing, now: clock::Millis) -> bool {
-        self.progress
-            .is_some_and(|at| now.since(at) <= timing.report_timeout)
-    }
-
-    /// Returns whether the balancer counts as alive: its report is fresh, or its
-    /// incarnation was first seen within the report timeout.
-    #[must_use]
-    pub fn is_live(&self, timing: &Timing, now: clock::Millis) -> bool {
-        self.is_fresh(timing, now) || now.since(self.learned) <= timing.report_timeout
-    }
-}
-
-/// Marker of an evicted agent that keeps gossip from adding its old entry again.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Tombstone {
-    /// The agent.
-    pub node: ident::NodeId,
-    /// The last known incarnation of the agent.
-    pub incarnation: ident::Incarnation,
-    /// The last known change counter within the incarnation.
-    pub change: u32,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct TombstoneRow {
-    tombstone: Tombstone,
-    watched: bool,
-    created: clock::Millis,
-}
-
 /// The agents and balancers that one balancer knows, each table sorted by node.
 #[derive(Clone, Debug)]
 pub struct Tables {
@@ -225,7 +90,7 @@
     me: ident::NodeId,
     members: Vec<MemberRow>,
     balancers: Vec<BalancerRow>,
-    tombstones: Vec<TombstoneRow>,
+    tombstones: Vec<rows::TombstoneRow>,
     synced_at: Option<clock::Millis>,
     ticked_at: clock::Millis,
     reported_at: clock::Millis,
@@ -360,10 +225,10 @@
             return Merge::Rejected;
         }
         let merge = match self.find_member(member.node) {
-            Ok(at) => replace(&mut self.members[at], member, now),
+            Ok(at) => rows::replace(&mut self.members[at], member, now),
             Err(_) if self.members.len() >= MAX_ENTRIES => Merge::Rejected,
             Err(at) => {
-                self.members.insert(at, new_row(member.clone(), now));
+                self.members.insert(at, rows::new_row(member.clone(), now));
                 self.remove_tombstone(member.node);
                 Merge::Applied
             }
@@ -425,7 +290,7 @@
     #[must_use]
     pub fn latest_entry(&self, node: ident::NodeId) -> Option<Tombstone> {
         self.member(node)
-            .map(|row| tombstone_of(&row.member))
+            .map(|row| rows::tombstone_of(&row.member))
             .or_else(|| self.tombstone(node))
     }
 
@@ -442,7 +307,7 @@
             return self.raise_incarnation(balancer.incarnation);
         }
         match self.find_balancer(balancer.node) {
-            Ok(at) => replace_balancer(&mut self.balancers[at], balancer, now),
+            Ok(at) => rows::replace_balancer(&mut self.balancers[at], balancer, now),
             Err(_) if self.balancers.len() >= MAX_ENTRIES => Merge::Rejected,
             Err(at) => {
                 self.balancers.insert(
@@ -504,7 +369,7 @@
         let version = (tombstone.incarnation, tombstone.change);
         if let Ok(at) = self.find_member(tombstone.node) {
             let row = &self.members[at];
-            if row.liveness != Liveness::Dead || version < version_of(&row.member) {
+            if row.liveness != Liveness::Dead || version < rows::version_of(&row.member) {
                 return Merge::Rejected;
             }
             let watched = row.member.watchers.contains(&self.me);
@@ -550,255 +415,8 @@
         reported
     }
 
-    /// Returns one digest of the agents' entries per partition.
-    ///
-    /// Processes with the same entries have the same digests.
-    #[must_use]
-    pub fn member_digests(&self) -> [u64; PARTITIONS] {
-        let mut digests = [0; PARTITIONS];
-        for row in &self.members {
-            digests[partition(row.member.node)] ^= hash_member(&row.member);
-        }
-        digests
-    }
-
-    /// Returns a digest of the balancers' entries, equal in processes with the same entries.
-    #[must_use]
-    pub fn balancer_digest(&self) -> u64 {
-        self.balancers.iter().fold(0, |digest, row| {
-            let balancer = &row.balancer;
-            let leaving = u64::from(balancer.leaving);
-            digest ^ hash_entry(balancer.node, balancer.incarnation, leaving)
-        })
-    }
-
-    /// Returns a digest of a service's view: the record's version, the active agents
-    /// and the live balancers.
-    #[must_use]
-    pub fn view_digest(&self, service: &str, version: u64, now: clock::Millis) -> u64 {
-        let members = self
-            .active_members(service)
-            .fold(version, |digest, member| digest ^ hash_member(member));
-        self.live_balancers(now).fold(members, |digest, balancer| {
-            digest ^ hash_entry(balancer.node, balancer.incarnation, 0)
-        })
-    }
-
-    /// Returns a digest of an agent's view of its own service, with the balancers that
-    /// [`rank_balancers`] selects for the agent.
-    #[must_use]
-    pub fn agent_digest(
-        &self,
-        agent: ident::NodeId,
-        service: &str,
-        version: u64,
-        now: clock::Millis,
-    ) -> u64 {
-        let members = self
-            .active_members(service)
-            .fold(version, |digest, member| digest ^ hash_member(member));
-        rank_balancers(agent, self.live_balancers(now), MAX_KNOWN_BALANCERS)
-            .into_iter()
-            .fold(members, |digest, balancer| {
-                digest ^ hash_entry(balancer.node, balancer.incarnation, 0)
-            })
-    }
-
-    fn active_digest(&self) -> u64 {
-        self.members
-            .iter()
-            .filter(|row| row.is_active())
-            .fold(0, |digest, row| digest ^ hash_member(&row.member))
-    }
-
-    /// Restarts the wait for heartbeats if this process was paused, for example by the
-    /// operating system.
-    ///
-    /// A process that did not run for a heartbeat timeout has missed heartbeats
-    /// itself, so its reports are not vouching until another heartbeat timeout has
-    /// passed, as after a start.
-    fn detect_pause(&mut self, now: clock::Millis) {
-        if now.since(self.ticked_at) >= self.timing.heartbeat_timeout && self.synced_at.is_some() {
-            self.synced_at = Some(now);
-        }
-        self.ticked_at = now;
-    }
-
-    /// Replaces the own report if it changed or the report period has passed.
-    ///
-    /// Returns whether it was replaced.
-    fn update_report(&mut self, now: clock::Millis) -> bool {
-        let except = self.missing_members(now);
-        let vouching = except.len() <= MAX_EXCEPTIONS
-            && !self.is_isolated(now)
-            && self
-                .synced_at
-                .is_some_and(|at| now.since(at) > self.timing.heartbeat_timeout);
-        let except = if vouching { except } else { Vec::new() };
-        let changed = (vouching, &except) != (self.report.vouching, &self.report.except);
-        let incarnation = self.own().incarnation;
-        let raised = incarnation != self.report.incarnation;
-        if !changed && !raised && now.since(self.reported_at) < self.timing.report_period {
-            return false;
-        }
-        self.reported_at = now;
-        self.report = LivenessReport {
-            balancer: self.me,
-            incarnation,
-            seq: self.report.seq + 1,
-            vouching,
-            except,
-        };
-        if let Ok(at) = self.find_balancer(self.me) {
-            self.balancers[at].report = Some(self.report.clone());
-            self.balancers[at].progress = Some(now);
-        }
-        true
-    }
-
-    /// Returns whether there are peers, but neither their reports nor heartbeats arrive.
-    ///
-    /// The fault is then more likely on this host's side, so the report must not vouch.
-    fn is_isolated(&self, now: clock::Millis) -> bool {
-        let timeout = self.timing.report_period + self.timing.period;
-        let mut peers = self
-            .balancers
-            .iter()
-            .filter(|row| row.balancer.node != self.me)
-            .peekable();
-        let has_peers = peers.peek().is_some();
-        let has_reports = peers.any(|row| row.progress.is_some_and(|at| now.since(at) <= timeout));
-        let has_heartbeats = self
-            .members
-            .iter()
-            .any(|row| row.has_heartbeat(&self.timing, now));
-        has_peers && !has_reports && !has_heartbeats
-    }
-
-    /// Returns the watched agents without a recent heartbeat, including evicted ones, which
-    /// peers may still have in their tables.
-    fn missing_members(&self, now: clock::Millis) -> Vec<ident::NodeId> {
-        let silent = self
-            .members
-            .iter()
-            .filter(|row| row.member.watchers.contains(&self.me))
-            .filter(|row| !row.has_heartbeat(&self.timing, now))
-            .map(|row| row.member.node);
-        let evicted = self
-            .tombstones
-            .iter()
-            .filter(|row| row.watched)
-            .map(|row| row.tombstone.node);
-        let mut missing: Vec<_> = silent.chain(evicted).collect();
-        missing.sort_unstable();
-        missing
-    }
-
-    fn update_liveness(&mut self, now: clock::Millis) {
-        for index in 0..self.members.len() {
-            let liveness = self.liveness(&self.members[index].member, now);
-            let row = &mut self.members[index];
-            match liveness {
-                Liveness::Unknown => {}
-                Liveness::Alive => {
-                    row.liveness = liveness;
-                    row.died = None;
-                    row.held = false;
-                }
-                Liveness::Dead => {
-                    row.liveness = liveness;
-                    row.died.get_or_insert(now);
-                }
-            }
-        }
-    }
-
-    fn liveness(&self, member: &member::Member, now: clock::Millis) -> Liveness {
-        let mut liveness = Liveness::Unknown;
-        for watcher in &member.watchers {
-            let Some(row) = self.balancer(*watcher) else {
-                continue;
-            };
-            let fresh = row.is_fresh(&self.timing, now);
-            let Some(report) = row
-                .report
-                .as_ref()
-                .filter(|report| fresh && report.vouching)
-            else {
-                continue;
-            };
-            if report.reports_alive(member.node) {
-                return Liveness::Alive;
-            }
-            liveness = Liveness::Dead;
-        }
-        liveness
-    }
-
-    /// Updates for each service whether its dead agents are held, that is, stay active.
-    ///
-    /// They are held if more than half of the service's ready agents died within the loss
-    /// window, which counts as a mass failure.
-    fn update_holds(&mut self, now: clock::Millis) {
-        let mut services: Vec<_> = self
-            .members
-            .iter()
-            .filter(|row| row.liveness == Liveness::Dead)
-            .map(|row| row.member.service.clone())
-            .collect();
-        services.sort_unstable();
-        services.dedup();
-        for service in services {
-            self.update_service_hold(&service, now);
-        }
-    }
-
-    fn update_service_hold(&mut self, service: &str, now: clock::Millis) {
-        let window = self.timing.loss_window;
-        let is_recent_loss = |row: &MemberRow| {
-            row.liveness == Liveness::Dead
-                && (row.held || row.died.is_some_and(|at| now.since(at) <= window))
-        };
-        let ready = |row: &&mut MemberRow| {
-            row.member.service == service && row.member.state == member::State::Ready
-        };
-        // The recent losses, and all ready agents without those that died earlier.
-        let mut counts = (0_usize, 0_usize);
-        for row in self.members.iter_mut().filter(ready) {
-            counts.0 += usize::from(is_recent_loss(row));
-            counts.1 += usize::from(is_recent_loss(row) || row.liveness != Liveness::Dead);
-        }
-        let held = counts.0 * 2 > counts.1;
-        for row in self.members.iter_mut().filter(ready) {
-            row.held = held && is_recent_loss(row);
-        }
-    }
-
-    fn evict(&mut self, now: clock::Millis) {
-        let timing = self.timing;
-        let (evicted, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.members)
-            .into_iter()
-            .partition(|row| {
-                row.died
-                    .is_some_and(|at| now.since(at) > timing.eviction_timeout)
-            });
-        self.members = kept;
-        for row in evicted {
-            let tombstone = tombstone_of(&row.member);
-            let watched = row.member.watchers.contains(&self.me);
-            self.add_tombstone(tombstone, watched, now);
-        }
-        self.tombstones
-            .retain(|row| now.since(row.created) <= timing.tombstone_ttl);
-        let me = self.me;
-        self.balancers.retain(|row| {
-            let last = row.progress.unwrap_or(row.learned);
-            row.balancer.node == me || now.since(last) <= timing.eviction_timeout
-        });
-    }
-
     fn add_tombstone(&mut self, tombstone: Tombstone, watched: bool, now: clock::Millis) -> Merge {
-        let row = TombstoneRow {
+        let row = rows::TombstoneRow {
             tombstone,
             watched,
             created: now,
@@ -819,7 +437,7 @@
 
     fn is_tombstoned(&self, member: &member::Member) -> bool {
         self.tombstone(member.node).is_some_and(|tombstone| {
-            version_of(member) <= (tombstone.incarnation, tombstone.change)
+            rows::version_of(member) <= (tombstone.incarnation, tombstone.change)
         })
     }
 
@@ -857,139 +475,7 @@
     }
 }
 
-/// Selects the balancers that an agent sends its heartbeats to: the first
-/// [`WATCHERS`] of [`rank_balancers`].
-pub fn select_watchers<'a>(
-    agent: ident::NodeId,
-    balancers: impl IntoIterator<Item = &'a member::Balancer>,
-) -> Vec<ident::NodeId> {
-    rank_balancers(agent, balancers, WATCHERS)
-        .into_iter()
-        .map(|balancer| balancer.node)
-        .collect()
-}
-
-/// Ranks the balancers for an agent and returns the first `limit`.
-///
-/// The rank comes from rendezvous hashing (Thaler and Ravishankar, 1998). The
-/// best balancer of each failure domain comes first, then the others by rank.
-/// Leaving balancers are skipped. A smaller limit returns a prefix of the result
-/// for a greater one.
-pub fn rank_balancers<'a>(
-    agent: ident::NodeId,
-    balancers: impl IntoIterator<Item = &'a member::Balancer>,
-    limit: usize,
-) -> Vec<&'a member::Balancer> {
-    let mut ranked: Vec<_> = balancers
-        .into_iter()
-        .filter(|balancer| !balancer.leaving)
-        .map(|balancer| (hash_rank(agent, balancer.node), balancer))
-        .collect();
-    ranked.sort_unstable_by_key(|(rank, balancer)| (std::cmp::Reverse(*rank), balancer.node));
-    let mut domains = Vec::new();
-    let (mut chosen, rest): (Vec<_>, Vec<_>) = ranked
-        .into_iter()
-        .map(|(_, balancer)| balancer)
-        .partition(|balancer| {
-            let first = !domains.contains(&balancer.domain.as_str());
-            if first {
-                domains.push(&balancer.domain);
-            }
-            first
-        });
-    chosen.extend(rest);
-    chosen.truncate(limit);
-    chosen
-}
-
-/// Returns the partition of the agent table that a node's entry belongs to.
-#[must_use]
-#[expect(
-    clippy::cast_possible_truncation,
-    reason = "the remainder is below the number of partitions"
-)]
-pub const fn partition(node: ident::NodeId) -> usize {
-    (node.0 % PARTITIONS as u64) as usize
-}
-
-fn hash_rank(agent: ident::NodeId, balancer: ident::NodeId) -> u64 {
-    xxh3::xxh3_64_with_seed(&balancer.0.to_le_bytes(), agent.0)
-}
-
 fn is_valid(member: &member::Member) -> bool {
     let fields = [&member.name, &member.service, &member.domain];
     fields.iter().all(|field| field.len() <= MAX_NAME_LEN) && member.watchers.len() <= WATCHERS
 }
-
-const fn tombstone_of(member: &member::Member) -> Tombstone {
-    Tombstone {
-        node: member.node,
-        incarnation: member.incarnation,
-        change: member.change,
-    }
-}
-
-const fn version_of(member: &member::Member) -> (ident::Incarnation, u32) {
-    (member.incarnation, member.change)
-}
-
-fn new_row(member: member::Member, now: clock::Millis) -> MemberRow {
-    MemberRow {
-        member,
-        learned: now,
-        heartbeat: None,
-        liveness: Liveness::Unknown,
-        died: None,
-        held: false,
-    }
-}
-
-/// Replaces an agent's entry if the new one takes precedence.
-///
-/// Draining takes precedence over every other state of the same incarnation, so
-/// that processes agree regardless of the order in which entries arrive.
-fn replace(old: &mut MemberRow, member: &member::Member, now: clock::Millis) -> Merge {
-    let order = |member: &member::Member| {
-        let draining = member.state == member::State::Draining;
-        (member.incarnation, draining, member.change)
-    };
-    if order(member) <= order(&old.member) {
-        return Merge::Stale;
-    }
-    if member.incarnation == old.member.incarnation {
-        old.member = member.clone();
-    } else {
-        *old = new_row(member.clone(), now);
-    }
-    Merge::Applied
-}
-
-fn replace_balancer(
-    old: &mut BalancerRow,
-    balancer: &member::Balancer,
-    now: clock::Millis,
-) -> Merge {
-    let order = |balancer: &member::Balancer| (balancer.incarnation, balancer.leaving);
-    if order(balancer) <= order(&old.balancer) {
-        return Merge::Stale;
-    }
-    if balancer.incarnation != old.balancer.incarnation {
-        old.learned = now;
-        old.report = None;
-        old.progress = None;
-    }
-    old.balancer = balancer.clone();
-    Merge::Applied
-}
-
-fn hash_member(member: &member::Member) -> u64 {
-    hash_entry(member.node, member.incarnation, u64::from(member.change))
-}
-
-fn hash_entry(node: ident::NodeId, incarnation: ident::Incarnation, change: u64) -> u64 {
-    let mut key = [0; 24];
-    key[..8].copy_from_slice(&node.0.to_le_bytes());
-    key[8..16].copy_from_slice(&incarnation.0.to_le_bytes());
-    key[16..].copy_from_slice(&change.to_le_bytes());
-    xxh3::xxh3_64(&key)
-}
