Share the moving average of queue and load, split queue

Both averaged service times alike: a plain average of the first samples, an exponential one after them. It is a module now, and the admission rules of the queue are one of theirs. No change of behaviour.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod member;
 pub mod membership;
 pub mod metrics;
+pub mod moving_average;
 pub mod outcome;
 pub mod owner_cache;
 pub mod pacer;
--- a/src/load.rs
+++ b/src/load.rs
@@ -3,7 +3,7 @@
 //!
 //! The service time of a request runs from its last data to the first data of the answer.
 
-use crate::{clock::Millis, member};
+use crate::{clock::Millis, member, moving_average::MovingAverage};
 
 /// Weight of a new sample in the moving average of the service time, from which waits are
 /// estimated.
@@ -33,10 +33,9 @@
 pub struct Load {
     slots: u32,
     busy: u32,
-    samples: u32,
     mean_ms: f64,
-    /// Slower moving average; a plain average at first.
-    capacity_ms: f64,
+    /// Slower average of the service time, in milliseconds.
+    capacity: MovingAverage,
     reported_step: u8,
 }
 
@@ -47,9 +46,8 @@
         let mut load = Self {
             slots: slots.max(1),
             busy: 0,
-            samples: 0,
             mean_ms: INITIAL_MEAN_MS,
-            capacity_ms: INITIAL_MEAN_MS,
+            capacity: MovingAverage::default(),
             reported_step: 0,
         };
         load.reported_step = load.measured_step();
@@ -82,11 +80,9 @@
         let Some(service_time) = service_time else {
             return;
         };
-        self.samples = self.samples.saturating_add(1);
         let sample = to_float(service_time);
         self.mean_ms += (sample - self.mean_ms) * SMOOTHING_FACTOR;
-        let weight = CAPACITY_SMOOTHING_FACTOR.max(1.0 / f64::from(self.samples));
-        self.capacity_ms += (sample - self.capacity_ms) * weight;
+        self.capacity.add(sample, CAPACITY_SMOOTHING_FACTOR);
     }
 
     /// Returns the number of outstanding requests.
@@ -125,7 +121,8 @@
     /// Returns the capacity to report, in steps of [`member::capacity`].
     pub fn capacity_step(&mut self) -> u8 {
         let measured = self.measured_step();
-        if self.samples >= MIN_SAMPLES && measured.abs_diff(self.reported_step) >= HYSTERESIS_STEPS
+        if self.capacity.samples() >= MIN_SAMPLES
+            && measured.abs_diff(self.reported_step) >= HYSTERESIS_STEPS
         {
             self.reported_step = measured;
         }
@@ -133,9 +130,8 @@
     }
 
     fn measured_step(&self) -> u8 {
-        member::capacity_step(
-            f64::from(self.slots) * 1_000.0 / self.capacity_ms.max(1.0) / UNIT_RATE,
-        )
+        let service_time = self.capacity.mean_or(INITIAL_MEAN_MS).max(1.0);
+        member::capacity_step(f64::from(self.slots) * 1_000.0 / service_time / UNIT_RATE)
     }
 }
 
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -17,9 +17,13 @@
 //! A feed, which is a long-lived streaming response, holds a connection but no
 //! slot.
 
+mod policy;
+
 use std::{collections::VecDeque, time::Duration};
 
-use crate::{clock, member, record};
+use crate::{clock, member, moving_average::MovingAverage, record};
+
+pub use self::policy::Policy;
 
 /// Number of priority classes.
 pub const CLASSES: usize = 3;
@@ -78,45 +82,6 @@
 
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
-/// Admission rules in effect; each can be disabled to measure its effect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[expect(
-    clippy::struct_excessive_bools,
-    reason = "each rule can be disabled independently"
-)]
-pub struct Policy {
-    /// Separate queues by class; without them all requests share one queue.
-    pub classes: bool,
-    /// Guaranteed shares of the slot time for the lower classes.
-    pub shares: bool,
-    /// Earliest-deadline-first order, and refusal of requests that cannot finish in time.
-    pub deadlines: bool,
-    /// Slots that are reserved for higher classes if a lower class has much longer
-    /// service times.
-    pub reserve: bool,
-}
-
-impl Policy {
-    /// One bounded FIFO queue for all classes.
-    pub const FIFO: Self = Self {
-        classes: false,
-        shares: false,
-        deadlines: false,
-        reserve: false,
-    };
-}
-
-impl Default for Policy {
-    fn default() -> Self {
-        Self {
-            classes: true,
-            shares: true,
-            deadlines: true,
-            reserve: true,
-        }
-    }
-}
-
 /// Concurrency limits of one upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -180,45 +145,13 @@
     deadline: clock::Millis,
 }
 
-/// Moving averages of a service time, in milliseconds.
-#[derive(Clone, Copy, Debug, Default)]
-struct Estimate {
-    mean: f64,
-    /// Mean absolute deviation.
-    deviation: f64,
-    samples: u32,
-}
-
-impl Estimate {
-    /// Adds a sample; the first samples are averaged with equal weights.
-    fn add(&mut self, sample: f64, gain: f64) {
-        if self.samples == 0 {
-            self.mean = sample;
-        }
-        let gain = gain.max(1.0 / f64::from(self.samples + 1));
-        let error = sample - self.mean;
-        self.mean += gain * error;
-        self.deviation += gain * (error.abs() - self.deviation);
-        self.samples = self.samples.saturating_add(1);
-    }
-
-    /// Returns the mean, or `initial` before the first sample.
-    const fn mean_or(&self, initial: f64) -> f64 {
-        if self.samples == 0 {
-            initial
-        } else {
-            self.mean
-        }
-    }
-}
-
 /// Queue and statistics of one class.
 #[derive(Clone, Debug, Default)]
 struct ClassQueue {
     waiting: VecDeque<Waiting>,
     running: usize,
     /// Service time of the class.
-    service: Estimate,
+    service: MovingAverage,
     /// Time of the last sample of the estimate, or of the last probe if that was later.
     estimated_at: clock::Millis,
     /// Slot time owed to the class by its guaranteed share, in milliseconds.
@@ -238,7 +171,7 @@
     feeds: usize,
     next_ticket: u64,
     /// Service time of all classes.
-    service: Estimate,
+    service: MovingAverage,
     /// Time up to which the exponential decay was applied.
     decayed_at: clock::Millis,
     /// Announced capacity, in steps of [`member::capacity_step`].
@@ -257,7 +190,7 @@
             classes: Default::default(),
             feeds: 0,
             next_ticket: 0,
-            service: Estimate::default(),
+            service: MovingAverage::default(),
             decayed_at: clock::Millis(0),
             step: 0,
             step_changed: None,
@@ -398,8 +331,8 @@
     /// service time; `None` until enough samples were recorded.
     #[must_use]
     pub fn capacity(&self) -> Option<f64> {
-        (self.service.samples >= MIN_SAMPLES)
-            .then(|| to_f64(self.limits.slots) * MILLIS_PER_SECOND / self.service.mean)
+        (self.service.samples() >= MIN_SAMPLES)
+            .then(|| to_f64(self.limits.slots) * MILLIS_PER_SECOND / self.mean_service_overall())
     }
 
     /// Returns the capacity to announce, in steps of a logarithmic scale.
@@ -613,7 +546,7 @@
 
     /// Returns a service time that few requests of a class exceed, in milliseconds.
     fn service_bound(&self, index: usize) -> f64 {
-        self.mean_service(index) + SERVICE_DEVIATIONS * self.classes[index].service.deviation
+        self.mean_service(index) + SERVICE_DEVIATIONS * self.classes[index].service.deviation()
     }
 
     /// Applies the exponential decay of the usage statistics up to `now`.
