Contact a few registered balancers at a time

When the fleet comes back, each of 195 nodes reads the addresses of 59 balancers and contacts all of them, and each of these sends it all entries that it knows, up to 21 kB. Addresses of balancers that are gone were called by every node every half second.

Change: seeds, and three of the registered addresses at random, until one has replied. Digests find what these do not know.

Test: fleet_that_comes_back_sends_entries_a_few_times.

--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddrV4;
 
 use log::{info, warn};
-use rand::{Rng, SeedableRng, rngs};
+use rand::{Rng, SeedableRng, rngs, seq::IndexedRandom};
 
 use crate::{
     clock::Millis,
@@ -23,7 +23,11 @@
 /// the platform that have not replied.
 const CONTACT_INTERVAL: Millis = Millis(500);
 
-/// The same while no other node has replied. It is short, because the hosts of a fleet that
+/// Number of the addresses registered on the platform that are contacted at a time. Each
+/// node that replies sends the entries that it knows, and one reply is enough.
+const MAX_CONTACTS: usize = 3;
+
+/// The contact interval while no other node has replied. It is short, because the hosts of a fleet that
 /// comes back start one after the other, and a node without contacts asks the platform.
 const FIRST_CONTACT_INTERVAL: Millis = Millis(150);
 
@@ -326,26 +330,26 @@
         }
     }
 
-    /// Sends a heartbeat to the seed and platform addresses from which no live node has
-    /// replied.
+    /// Sends a heartbeat to the seed addresses, and to some of those registered on the
+    /// platform, from which no live node has replied.
     fn contact_addresses(&mut self) {
-        let known: Vec<_> = self
-            .roster
-            .peers()
-            .iter()
-            .filter(|peer| !peer.silent && peer.direct)
-            .map(|peer| peer.entry.control)
-            .collect();
-        let mut addresses: Vec<_> = self
-            .seeds
-            .iter()
-            .chain(&self.platform_addresses)
-            .copied()
+        let live = self.roster.peers().iter();
+        let live = live.filter(|peer| !peer.silent && peer.direct);
+        let known: Vec<_> = live.map(|peer| peer.entry.control).collect();
+        let own = self.roster.me().control;
+        let is_unknown = |address: &SocketAddrV4| *address != own && !known.contains(address);
+        let registered = self.platform_addresses.iter().copied();
+        let registered: Vec<_> = registered.filter(is_unknown).collect();
+        let seeds = self.seeds.iter().copied().filter(is_unknown);
+        let mut addresses: Vec<_> = seeds
+            .chain(
+                registered
+                    .choose_multiple(&mut self.rng, MAX_CONTACTS)
+                    .copied(),
+            )
             .collect();
         addresses.sort_unstable();
         addresses.dedup();
-        let own = self.roster.me().control;
-        addresses.retain(|address| *address != own && !known.contains(address));
         let heartbeat = self.heartbeat();
         for address in addresses {
             self.outbox.push((address, heartbeat.clone()));
--- a/tests/domain_digest.rs
+++ b/tests/domain_digest.rs
@@ -191,6 +191,28 @@
     messages.filter(is_far).count()
 }
 
+/// Nodes that come back together read the addresses of all balancers from the platform. Each
+/// gets the entries of the fleet from a few of them, not from all.
+#[test]
+fn fleet_that_comes_back_sends_entries_a_few_times() {
+    const CONTACTS: usize = 6;
+    let balancers = (1..=20).map(|node| entry(node, u32::from(node % 5), None));
+    let agents = (0..40).map(|node| entry(1_000 + node, u32::from(node % 5), Some(SERVICE)));
+    let mut network = Network::new(balancers.chain(agents).collect(), 1);
+    for node in &mut network.nodes {
+        node.set_platform_addresses((1..=20).map(addr).collect());
+    }
+    network.run_until(SETTLED);
+    let all = network.nodes.len();
+    assert_eq!(believers(&network, 1), all - 1);
+    let entries = network.between_domains.iter().map(|message| match message {
+        Message::Roster(entries) => entries.len(),
+        _ => 0,
+    });
+    let entries: usize = entries.sum();
+    assert!(entries <= CONTACTS * all * all, "{entries} entries");
+}
+
 /// A node of a version without digests keeps the nodes of other domains, since each sends
 /// it a heartbeat within the period that its last one announced.
 #[test]
