Count what pass-through nodes send, by cause

sent_bytes and sent_datagrams in the metrics: packets, answers, heartbeats and probes, entries, digests, ownership of flows, configuration. Bytes between failure domains are the largest price of a large deployment, and so far only arithmetic said what they are.

Test: tests/traffic.rs.

--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -441,6 +441,7 @@
             self.perform(action, &mut []);
         }
         self.check_failure(now);
+        self.telemetry.publish_traffic(self.transport.traffic());
     }
 
     /// Resets the flows of the upstream if it has failed.
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -142,6 +142,7 @@
             _ = ticker.tick() => {
                 let now = balancer.clock.now();
                 balancer.peers.tick(now);
+                balancer.telemetry.publish_traffic(balancer.transport.traffic());
                 polling::set(&polling, balancer.peers.polling(now));
             }
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod store_watch;
 pub mod stream;
 pub mod telemetry;
+pub mod traffic;
 pub mod transport;
 pub mod udp;
 pub mod upstream;
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Metrics of a pass-through node and a rate limit for the log lines about its decisions.
 
+use std::sync::atomic::Ordering;
+
 use prometheus_client::{
     encoding::EncodeLabelSet,
     metrics::{
@@ -10,7 +12,10 @@
     registry::Registry,
 };
 
-use crate::clock::Millis;
+use crate::{
+    clock::Millis,
+    traffic::{Cause, Traffic},
+};
 
 /// Maximum number of log lines about flows that a process writes per second.
 pub const LINES_PER_SECOND: u32 = 20;
@@ -33,6 +38,11 @@
     decision: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// Metrics and log rate limit of one process.
 #[derive(Clone, Debug)]
 pub struct Telemetry {
@@ -40,6 +50,8 @@
     unreadable: Counter,
     suppressed_total: Counter,
     service_time: Histogram,
+    sent_bytes: Family<CauseLabel, Counter>,
+    sent_datagrams: Family<CauseLabel, Counter>,
     window_start: Millis,
     window_lines: u32,
     suppressed: u64,
@@ -63,6 +75,8 @@
             unreadable: Counter::default(),
             suppressed_total: Counter::default(),
             service_time: Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS)),
+            sent_bytes: Family::default(),
+            sent_datagrams: Family::default(),
             window_start: Millis(0),
             window_lines: 0,
             suppressed: 0,
@@ -91,6 +105,32 @@
             "Time from a request's last data to the first data of its answer",
             self.service_time.clone(),
         );
+        registry.register(
+            "sent_bytes",
+            "Bytes handed to the link, by cause",
+            self.sent_bytes.clone(),
+        );
+        registry.register(
+            "sent_datagrams",
+            "Datagrams handed to the link, by cause",
+            self.sent_datagrams.clone(),
+        );
+    }
+
+    /// Publishes what was sent so far.
+    pub fn publish_traffic(&self, traffic: &Traffic) {
+        for cause in Cause::ALL {
+            let (count, label) = (
+                traffic.count(cause),
+                CauseLabel {
+                    cause: cause.name(),
+                },
+            );
+            let bytes = self.sent_bytes.get_or_create(&label);
+            bytes.inner().store(count.bytes, Ordering::Relaxed);
+            let datagrams = self.sent_datagrams.get_or_create(&label);
+            datagrams.inner().store(count.datagrams, Ordering::Relaxed);
+        }
     }
 
     /// Counts a decision. Returns the number of log lines suppressed since the last one
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -13,6 +13,7 @@
     pacer::{self, Class, Outlet, Verdict},
     protocol, seal,
     socket::Socket,
+    traffic::{Cause, Traffic},
 };
 
 /// Error in opening a datagram.
@@ -78,6 +79,7 @@
     encoded: Vec<u8>,
     sealed: Vec<u8>,
     unsent: Unsent,
+    traffic: Traffic,
 }
 
 impl Transport {
@@ -91,6 +93,7 @@
             encoded: Vec::new(),
             sealed: Vec::new(),
             unsent: Unsent::default(),
+            traffic: Traffic::default(),
         }
     }
 
@@ -109,6 +112,12 @@
         }
     }
 
+    /// Returns what was sent, or waits for the link, by cause.
+    #[must_use]
+    pub const fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     /// Returns the time that the waiting datagrams take up the link.
     #[must_use]
     pub fn link_delay(&self) -> Millis {
@@ -151,6 +160,7 @@
         self.sealer
             .seal(seal::Kind::Packet, &parts, &mut self.sealed);
         let datagram = mem::take(&mut self.sealed);
+        self.traffic.record(Cause::Packet, datagram.len());
         self.submit(
             sockets,
             Outlet::Packets,
@@ -182,6 +192,7 @@
             key: None,
         };
         let datagram = mem::take(&mut self.sealed);
+        self.traffic.record(Cause::of(message), datagram.len());
         self.submit(sockets, Outlet::Messages, to, &datagram, priority, now);
         self.sealed = datagram;
     }
@@ -196,6 +207,7 @@
         now: Millis,
     ) {
         let priority = Priority { class, key: None };
+        self.traffic.record(Cause::Answer, packet.len());
         self.submit(sockets, Outlet::Packets, to, packet, priority, now);
     }
 
