Ask only agents that have not replied to a search

Callers repeat the packets of flows that the upstreams have lost, and each repetition was sent to all 108 agents of the service, which all replied, until the fleet had settled and the flows were reset. Agents have 0.15 of a core, and new flows waited behind this.

Change: a repeated search goes to the agents that have not replied, and to all only if agents have come, gone or started again since. Once all have replied, further packets wait for the reset.

Tests: tests/steering.rs, two new ones.

--- a/src/agent_loop/actions.rs
+++ b/src/agent_loop/actions.rs
@@ -11,7 +11,7 @@
 use tokio::{net::TcpStream, time};
 
 use super::AgentLoop;
-use crate::{pacer, protocol, roster, socket, steering, transport};
+use crate::{ident, pacer, protocol, socket, steering, transport};
 
 /// Timeout of a connection probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,7 +37,9 @@
                 self.forward(&header, packet);
             }
             steering::Action::Resend(header, bytes) => self.forward(&header, &bytes),
-            steering::Action::Search(header) => self.send_search(header, packet),
+            steering::Action::Search(header, nodes) => {
+                self.send_search(header, &nodes, packet);
+            }
             steering::Action::Disown(requester, flow) => {
                 let message = protocol::Message::Unowned {
                     node: self.peers.roster().me().node,
@@ -54,16 +56,20 @@
         }
     }
 
-    /// Sends a packet to all other agents of the service.
-    fn send_search(&mut self, mut header: protocol::Header, packet: &mut [u8]) {
+    /// Sends a packet to each of the agents.
+    fn send_search(
+        &mut self,
+        mut header: protocol::Header,
+        nodes: &[ident::NodeId],
+        packet: &mut [u8],
+    ) {
         (self.codec.stamp)(packet, 0);
-        let me = self.peers.roster().me().node;
-        let agents = self.peers.roster().agents(self.service);
-        let others: Vec<_> = agents
-            .filter(|entry| entry.node != me)
-            .filter_map(roster::Entry::hop)
-            .collect();
-        for hop in others {
+        let roster = self.peers.roster();
+        let known = nodes
+            .iter()
+            .filter_map(|node| roster.find(*node)?.entry.hop());
+        let hops: Vec<_> = known.collect();
+        for hop in hops {
             header.hops = vec![protocol::ServiceHop {
                 service: self.service,
                 hop,
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -1,12 +1,15 @@
 //! Cache of the agents that own flows not tracked here, and pending searches for owners
 //! that are not known.
 
+use std::mem;
+
 use serde::Serialize;
+use xxhash_rust::xxh3;
 
 use crate::{
     clock::Millis,
     conntrack::{ENDED_TIMEOUT, IDLE_TIMEOUT},
-    ident::NodeId,
+    ident::{Incarnation, NodeId},
     packet::Flow,
     protocol::ServiceHop,
 };
@@ -32,6 +35,8 @@
     last: Millis,
     /// Last acknowledgement number of the caller.
     ack: u32,
+    /// Hash over the agents that were asked.
+    asked: u64,
     /// Agents that have not replied yet.
     unheard: Vec<NodeId>,
 }
@@ -88,24 +93,48 @@
         }
     }
 
-    /// Starts a search for the owner of a flow among `agents`. Returns false if the last
-    /// search is more recent than `SEARCH_INTERVAL` or too many searches are pending.
+    /// Starts or repeats a search for the owner of a flow among `agents`. Returns the agents
+    /// to ask: all of them at first and after a change of the agents, otherwise those that
+    /// have not replied. Returns `None` if the last search is more recent than
+    /// `SEARCH_INTERVAL` or too many searches are pending.
     ///
     /// `ack` is the last acknowledgement number of the caller.
-    pub fn start_search(&mut self, flow: Flow, ack: u32, agents: Vec<NodeId>, now: Millis) -> bool {
-        let search = Search {
+    pub fn start_search(
+        &mut self,
+        flow: Flow,
+        ack: u32,
+        agents: impl Iterator<Item = (NodeId, Incarnation)>,
+        now: Millis,
+    ) -> Option<&[NodeId]> {
+        let found = self.searches.binary_search_by_key(&flow, |s| s.flow);
+        match found {
+            Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => return None,
+            Err(_) if self.searches.len() >= MAX_ENTRIES => return None,
+            _ => {}
+        }
+        let agents: Vec<_> = agents.collect();
+        let mut search = Search {
             flow,
             last: now,
             ack,
-            unheard: agents,
+            asked: hash_agents(&agents),
+            unheard: agents.into_iter().map(|(node, _)| node).collect(),
         };
-        match self.searches.binary_search_by_key(&flow, |s| s.flow) {
-            Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => return false,
-            Ok(at) => self.searches[at] = search,
-            Err(at) if self.searches.len() < MAX_ENTRIES => self.searches.insert(at, search),
-            Err(_) => return false,
-        }
-        true
+        let at = match found {
+            Ok(at) => {
+                let previous = &mut self.searches[at];
+                if previous.asked == search.asked {
+                    search.unheard = mem::take(&mut previous.unheard);
+                }
+                *previous = search;
+                at
+            }
+            Err(at) => {
+                self.searches.insert(at, search);
+                at
+            }
+        };
+        Some(&self.searches[at].unheard)
     }
 
     /// Records the reply of an agent that does not own a flow.
@@ -131,3 +160,10 @@
             .retain(|entry| now.since(entry.last) < ENDED_TIMEOUT);
     }
 }
+
+/// Hashes a set of agents and their runs, whatever their order.
+fn hash_agents(agents: &[(NodeId, Incarnation)]) -> u64 {
+    agents.iter().fold(0, |hash, (node, incarnation)| {
+        hash ^ xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), incarnation.0)
+    })
+}
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -49,8 +49,8 @@
     Target,
     /// The packet opens a flow, and no agent of its chain accepts it.
     Full,
-    /// The owner is unknown, and no search was started: the last one is too recent, or
-    /// too many are pending.
+    /// The owner is unknown, and no search was started: the last one is too recent, all
+    /// agents have replied to it, or too many are pending.
     Searched,
     /// Another agent searched for the owner, and this agent does not own the flow.
     NotOwned,
@@ -68,8 +68,8 @@
     Send(Header),
     /// Forward the buffered bytes of an earlier packet to the first hop of the header.
     Resend(Header, Vec<u8>),
-    /// Send the packet to all other agents of the service.
-    Search(Header),
+    /// Send the packet to each of these agents, to find the owner of its flow.
+    Search(Header, Vec<NodeId>),
     /// Reply to the agent that searches for the owner of a flow that this agent does not
     /// own it.
     Disown(Hop, Flow),
@@ -110,7 +110,7 @@
                 Mode::Chain | Mode::Search => "pass_on",
             },
             Self::Resend(..) => "pass_on_unanswered",
-            Self::Search(_) => "search",
+            Self::Search(..) => "search",
             Self::Disown(..) => "disown",
             Self::Answer => "answer",
             Self::Reset(_, 0) => "refuse",
@@ -411,26 +411,29 @@
         self.search(context, header, segment)
     }
 
-    /// Searches for the owner of a flow by sending the packet to all agents of the
-    /// service, which reply to this agent.
+    /// Searches for the owner of a flow by sending the packet to the other agents of the
+    /// service, which reply to this agent. Agents that have replied are not asked again.
     fn search(&mut self, context: &Context<'_>, header: Header, segment: &Segment) -> Action {
+        let own = self.own_address.hop.node;
         let agents = context.roster.agents(self.own_address.service);
         let others = agents
-            .map(|entry| entry.node)
-            .filter(|node| *node != self.own_address.hop.node)
-            .collect();
+            .filter(|entry| entry.node != own)
+            .map(|entry| (entry.node, entry.incarnation));
         let flow = segment.inbound();
-        if !self
+        let asked = self
             .owners
-            .start_search(flow, segment.ack, others, context.now)
-        {
-            return Action::Drop(DropReason::Searched);
+            .start_search(flow, segment.ack, others, context.now);
+        match asked {
+            None | Some([]) => Action::Drop(DropReason::Searched),
+            Some(nodes) => {
+                let header = Header {
+                    mode: Mode::Search,
+                    requester: Some(self.own_address.hop),
+                    ..header
+                };
+                Action::Search(header, nodes.to_vec())
+            }
         }
-        Action::Search(Header {
-            mode: Mode::Search,
-            requester: Some(self.own_address.hop),
-            ..header
-        })
     }
 
     /// Resets flows that no agent of the service owns.
--- a/tests/load_model/fleet.rs
+++ b/tests/load_model/fleet.rs
@@ -371,7 +371,7 @@
                 );
             }
             Action::Drop(_)
-            | Action::Search(_)
+            | Action::Search(..)
             | Action::Disown(..)
             | Action::Resend(..)
             | Action::Probe => {}
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -284,7 +284,7 @@
     let action = agent.inbound(header(&[1, 2]), &data(4_000, 9), Millis(0));
     assert_eq!(next_hop(&action), Some(2));
     let action = agent.inbound(header(&[1]), &data(4_000, 9), Millis(0));
-    assert!(matches!(action, Action::Search(_)));
+    assert!(matches!(action, Action::Search(..)));
 }
 
 #[test]
@@ -295,6 +295,43 @@
     assert_eq!(action, Action::Drop(DropReason::Searched));
 }
 
+/// Returns the numbers of the agents that a search asks, none if it asks nobody.
+fn asked(action: &Action) -> Vec<u64> {
+    match action {
+        Action::Search(_, nodes) => nodes.iter().map(|node| node.0).collect(),
+        _ => Vec::new(),
+    }
+}
+
+/// After a loss of all flows, each caller repeats its packets until it is told. An agent
+/// that has replied to a search for the flow does not get another copy of each.
+#[test]
+fn repeated_search_asks_only_agents_that_have_not_replied() {
+    let mut agent = Agent::new(&[2, 3]);
+    let first = agent.inbound(header(&[1]), &data(4_000, 9), Millis(0));
+    assert_eq!(asked(&first), [2, 3]);
+    agent.flows.record_not_owned(NodeId(2), &[flow(4_000)]);
+    let second = agent.inbound(header(&[1]), &data(4_000, 9), Millis(200));
+    assert_eq!(asked(&second), [3]);
+    agent.flows.record_not_owned(NodeId(3), &[flow(4_000)]);
+    let third = agent.inbound(header(&[1]), &data(4_000, 9), Millis(400));
+    assert_eq!(third, Action::Drop(DropReason::Searched));
+}
+
+/// An agent that was not known before, or has started again, may own the flow.
+#[test]
+fn search_asks_all_agents_again_after_a_change_of_the_agents() {
+    let mut agent = Agent::new(&[2]);
+    agent.inbound(header(&[1]), &data(4_000, 9), Millis(0));
+    agent.flows.record_not_owned(NodeId(2), &[flow(4_000)]);
+    let joined = entry(3, Some(member::State::Ready));
+    agent
+        .roster
+        .merge(&joined, roster::HEARTBEAT_PERIOD, true, Millis(100));
+    let action = agent.inbound(header(&[1]), &data(4_000, 9), Millis(200));
+    assert_eq!(asked(&action), [2, 3]);
+}
+
 #[test]
 fn packet_is_forwarded_to_the_announced_owner() {
     let mut agent = Agent::new(&[2]);
