--- a/standins/src/upstream.rs
+++ b/standins/src/upstream.rs
@@ -4,6 +4,8 @@
 //! at speed 1, `x-answer-bytes` the length of the response body, and `x-chunked` selects chunked
 //! transfer encoding instead of a content length.
 
+mod response;
+
 use std::{
     convert::Infallible,
     fs,
@@ -20,7 +22,7 @@
 
 use bytes::Bytes;
 use cassiacross::{clock, outcome};
-use futures_util::{Stream, StreamExt, stream};
+use futures_util::stream;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode,
@@ -375,7 +377,10 @@
 async fn serve(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let path = request.uri().path();
     if path == "/load" {
-        return Ok(json_response(StatusCode::OK, &load_report(&state)));
+        return Ok(response::json_response(
+            StatusCode::OK,
+            &load_report(&state),
+        ));
     }
     if request.method() == Method::GET && path.starts_with("/feed") {
         return Ok(feed_response(&state, &request));
@@ -386,13 +391,16 @@
 async fn execute(state: &Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let faults = *lock(&state.faults);
     if faults.close_before {
-        return Err(connection_closed());
+        return Err(response::connection_closed());
     }
     if faults.shed {
-        return Ok(shed_response());
+        return Ok(response::shed_response());
     }
     if faults.wrong_fast {
-        return Ok(text_response(StatusCode::INTERNAL_SERVER_ERROR, "wrong\n"));
+        return Ok(response::text_response(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "wrong\n",
+        ));
     }
     let guard = CountGuard::new(state, |state| &state.requests);
     let (parts, body) = request.into_parts();
@@ -403,7 +411,7 @@
     time::sleep(state.service_time(&parts.headers, faults)).await;
     state.record_end(index);
     drop(slot);
-    let text = body_text(&parts.headers);
+    let text = response::body_text(&parts.headers);
     let len = text.len();
     let mut response = Response::new(faulty_body(text, faults, guard).await?);
     if !parts.headers.contains_key("x-chunked") {
@@ -425,18 +433,18 @@
         return std::future::pending().await;
     }
     if faults.close_after == Some(0) {
-        return Err(connection_closed());
+        return Err(response::connection_closed());
     }
     if let Some(len) = faults.silent_after {
         drop(guard);
-        return Ok(truncated_body(&text, len, stream::pending()));
+        return Ok(response::truncated_body(&text, len, stream::pending()));
     }
     if let Some(len) = faults.close_after {
         let end = stream::once(async {
             time::sleep(CLOSE_DELAY).await;
-            Err(connection_closed())
+            Err(response::connection_closed())
         });
-        return Ok(truncated_body(&text, len, end));
+        return Ok(response::truncated_body(&text, len, end));
     }
     let whole = Full::new(text).map_frame(move |frame| {
         let _guard = &guard;
@@ -447,19 +455,9 @@
         .boxed_unsync())
 }
 
-fn truncated_body(
-    text: &Bytes,
-    len: usize,
-    end: impl Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
-) -> Body {
-    let start = text.slice(..len.min(text.len()));
-    let start = stream::iter([Ok(Frame::data(start))]);
-    StreamBody::new(start.chain(end)).boxed_unsync()
-}
-
 fn feed_response(state: &Arc<State>, request: &Request<Incoming>) -> Response<Body> {
     let guard = CountGuard::new(state, |state| &state.feeds);
-    let id = header_text(request.headers(), "x-request-id").to_owned();
+    let id = response::header_text(request.headers(), "x-request-id").to_owned();
     let drained = state.drained.subscribe();
     let lines = stream::unfold((0_u64, guard, drained), move |(n, guard, mut drained)| {
         let line = Bytes::from(format!("{id} {n}\n"));
@@ -485,20 +483,29 @@
     match (&parts.method, parts.uri.path()) {
         (&Method::GET, "/ledger") => {
             let ledger = lock(&state.ledger).clone();
-            Ok(json_response(StatusCode::OK, &ledger))
+            Ok(response::json_response(StatusCode::OK, &ledger))
         }
-        (&Method::GET, "/load") => Ok(json_response(StatusCode::OK, &load_report(&state))),
+        (&Method::GET, "/load") => Ok(response::json_response(
+            StatusCode::OK,
+            &load_report(&state),
+        )),
         (&Method::POST, "/faults") => {
             let body = body.collect().await?.to_bytes();
             match serde_json::from_slice(&body) {
                 Ok(faults) => {
                     *lock(&state.faults) = faults;
-                    Ok(json_response(StatusCode::OK, &faults))
+                    Ok(response::json_response(StatusCode::OK, &faults))
                 }
-                Err(error) => Ok(json_response(StatusCode::BAD_REQUEST, &error.to_string())),
+                Err(error) => Ok(response::json_response(
+                    StatusCode::BAD_REQUEST,
+                    &error.to_string(),
+                )),
             }
         }
-        _ => Ok(text_response(StatusCode::NOT_FOUND, "not found\n")),
+        _ => Ok(response::text_response(
+            StatusCode::NOT_FOUND,
+            "not found\n",
+        )),
     }
 }
 
@@ -508,11 +515,11 @@
     fn record_start(&self, headers: &HeaderMap) -> io::Result<usize> {
         let mut ledger = lock(&self.ledger);
         let execution = Execution {
-            id: header_text(headers, "x-request-id").to_owned(),
+            id: response::header_text(headers, "x-request-id").to_owned(),
             started_ms: self.clock.now().0,
             ended_ms: None,
             service: self.options.service.clone(),
-            deadline_ms: header_text(headers, outcome::DEADLINE_HEADER.as_str())
+            deadline_ms: response::header_text(headers, outcome::DEADLINE_HEADER.as_str())
                 .parse()
                 .ok(),
         };
@@ -529,7 +536,7 @@
     }
 
     fn service_time(&self, headers: &HeaderMap, faults: Faults) -> Duration {
-        let work: f64 = header_text(headers, "x-work-ms")
+        let work: f64 = response::header_text(headers, "x-work-ms")
             .parse()
             .unwrap_or(DEFAULT_WORK_MS);
         let warm = self
@@ -580,48 +587,6 @@
     })
 }
 
-/// Returns lines with the request ID, cut to the length given by `x-answer-bytes`.
-fn body_text(headers: &HeaderMap) -> Bytes {
-    let line = format!("{}\n", header_text(headers, "x-request-id"));
-    let len = header_text(headers, "x-answer-bytes")
-        .parse()
-        .unwrap_or(line.len());
-    let mut body = line.repeat(len.div_ceil(line.len()));
-    body.truncate(len);
-    body.into()
-}
-
-fn shed_response() -> Response<Body> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "shed\n");
-    let headers = response.headers_mut();
-    headers.insert(outcome::OUTCOME_HEADER, outcome::NOT_RUN);
-    response
-}
-
-fn text_response(status: StatusCode, text: &'static str) -> Response<Body> {
-    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = status;
-    response
-}
-
-fn json_response(status: StatusCode, value: &impl Serialize) -> Response<Body> {
-    let text = serde_json::to_vec(value).unwrap_or_default();
-    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = status;
-    response
-}
-
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default()
-}
-
-fn connection_closed() -> io::Error {
-    io::ErrorKind::ConnectionAborted.into()
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
