--- a/xtask/src/measure/exchange.rs
+++ b/xtask/src/measure/exchange.rs
@@ -3,12 +3,10 @@
 //! Runs the state machines of all balancers in one process, over a simulated network without delay
 //! or loss. Routing tables are not built here; the measurement `packets` covers them.
 
-use std::{
-    collections::HashMap,
-    net::{Ipv4Addr, SocketAddrV4},
-    thread,
-    time::{Duration, Instant},
-};
+mod entries;
+mod usage;
+
+use std::{collections::HashMap, net::SocketAddrV4, thread, time::Instant};
 
 use cassiacross::{balancer, clock, exchange, gossip, ident, member, membership, seal};
 use exchange::Action;
@@ -40,25 +38,6 @@
 /// Limit for the time until a record change has reached all balancers.
 const MAX_SPREAD_TIME: clock::Millis = clock::Millis(13_000);
 
-/// Sent and received bytes, and number of messages, of one kind of message.
-#[derive(Clone, Copy, Debug, Default)]
-struct Traffic {
-    sent: usize,
-    received: usize,
-    messages: usize,
-}
-
-/// Traffic and processor time of one balancer since the counters were reset.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usage {
-    exchange: Traffic,
-    heartbeat: Traffic,
-    ack: Traffic,
-    sync: Traffic,
-    view: Traffic,
-    busy: Duration,
-}
-
 /// Figures of one case, as means per second and balancer.
 ///
 /// `busiest_bytes` is the traffic of the balancer with the most, `spread_ms` the time until a
@@ -98,7 +77,7 @@
     inbox: Vec<Datagram>,
     outbox: Vec<Action>,
     acked_digests: Vec<AckedDigest>,
-    usage: Usage,
+    usage: usage::Usage,
     down: bool,
 }
 
@@ -179,7 +158,7 @@
 
 impl Fleet {
     fn new(size: usize, seed: u64) -> Self {
-        let entries: Vec<_> = (0..size).map(balancer_entry).collect();
+        let entries: Vec<_> = (0..size).map(entries::balancer_entry).collect();
         let timing = membership::Timing::new(PERIOD);
         let now = clock::Millis(1);
         let nodes = entries
@@ -190,7 +169,7 @@
                 inbox: Vec::new(),
                 outbox: Vec::new(),
                 acked_digests: Vec::new(),
-                usage: Usage::default(),
+                usage: usage::Usage::default(),
                 down: false,
             });
         let agents = size * DESIGN_AGENTS / DESIGN_BALANCERS;
@@ -199,12 +178,12 @@
             now,
             nodes: nodes.collect(),
             heartbeats: (0..agents)
-                .map(|index| heartbeat(index, &entries))
+                .map(|index| entries::heartbeat(index, &entries))
                 .collect(),
             silent: vec![false; agents],
-            by_control: index_by(&entries, |entry| entry.control),
-            by_http: index_by(&entries, |entry| entry.http),
-            by_node: index_by(&entries, |entry| entry.node),
+            by_control: entries::index_by(&entries, |entry| entry.control),
+            by_http: entries::index_by(&entries, |entry| entry.http),
+            by_node: entries::index_by(&entries, |entry| entry.node),
             entries,
         }
     }
@@ -233,8 +212,10 @@
         let from = self.entries[0].http;
         for node in &mut self.nodes {
             node.balancer.apply_sync(&sync, from, self.now);
-            node.balancer
-                .configure(services(records, 0), record_versions(records, 0));
+            node.balancer.configure(
+                entries::services(records, 0),
+                entries::record_versions(records, 0),
+            );
         }
     }
 
@@ -424,7 +405,7 @@
 
     fn reset_usage(&mut self) {
         for node in &mut self.nodes {
-            node.usage = Usage::default();
+            node.usage = usage::Usage::default();
         }
     }
 
@@ -433,8 +414,10 @@
         self.reset_usage();
         let records = self.nodes[0].balancer.records().len();
         for node in self.nodes.iter_mut().take(2 * DOMAIN_COUNT) {
-            node.balancer
-                .configure(services(records, 1), record_versions(records, 1));
+            node.balancer.configure(
+                entries::services(records, 1),
+                entries::record_versions(records, 1),
+            );
         }
         let start = self.now;
         let mut spread = None;
@@ -513,7 +496,7 @@
     fn row(&self, case: &'static str, periods: u64, spread_ms: Option<u64>) -> Row {
         let live: Vec<_> = self.nodes.iter().filter(|node| !node.down).collect();
         let seconds = (periods * PERIOD.0) as f64 / 1_000.0 + start_seconds(case);
-        let mean = |pick: &dyn Fn(&Usage) -> usize| {
+        let mean = |pick: &dyn Fn(&usage::Usage) -> usize| {
             let sum: usize = live.iter().map(|node| pick(&node.usage)).sum();
             sum as f64 / live.len() as f64 / seconds
         };
@@ -535,7 +518,7 @@
             ack_bytes: mean(&|usage| usage.ack.sent),
             sync_bytes: mean(&|usage| usage.sync.sent + usage.sync.received),
             view_bytes: mean(&|usage| usage.view.sent + usage.view.received),
-            mean_bytes: mean(&Usage::bytes),
+            mean_bytes: mean(&usage::Usage::bytes),
             busiest_bytes: busiest as f64 / seconds,
             core_percent: busy / live.len() as f64 / seconds * 100.0,
             spread_ms,
@@ -565,27 +548,6 @@
     }
 }
 
-impl Traffic {
-    const fn add(&mut self, sent: usize, received: usize) {
-        self.sent += sent;
-        self.received += received;
-        self.messages += 1;
-    }
-}
-
-impl Usage {
-    fn bytes(&self) -> usize {
-        let counts = [
-            self.exchange,
-            self.heartbeat,
-            self.ack,
-            self.sync,
-            self.view,
-        ];
-        counts.iter().map(|count| count.sent + count.received).sum()
-    }
-}
-
 fn apply_reply(node: &mut Node, reply: Result<balancer::Reply, balancer::Error>, from: &Datagram) {
     match reply {
         Ok(balancer::Reply::Ack(ack)) => {
@@ -611,84 +573,6 @@
     }
 }
 
-fn index_by<K: Eq + std::hash::Hash>(
-    entries: &[member::Balancer],
-    key: impl Fn(&member::Balancer) -> K,
-) -> HashMap<K, usize> {
-    entries
-        .iter()
-        .enumerate()
-        .map(|(index, entry)| (key(entry), index))
-        .collect()
-}
-
-fn address(net: u8, index: usize, port: u16) -> SocketAddrV4 {
-    let [_, _, high, low] = u32::try_from(index).unwrap_or(0).to_be_bytes();
-    SocketAddrV4::new(Ipv4Addr::new(10, net, high, low), port)
-}
-
-fn balancer_entry(index: usize) -> member::Balancer {
-    let name = format!("balancer-{index:03}");
-    member::Balancer {
-        node: ident::NodeId::of(&name),
-        incarnation: ident::Incarnation(1 << 56),
-        name,
-        domain: format!("domain-{}", index % DOMAIN_COUNT),
-        control: address(1, index, 7_001),
-        http: address(1, index, 7_002),
-        leaving: false,
-    }
-}
-
-fn heartbeat(index: usize, balancers: &[member::Balancer]) -> exchange::Heartbeat {
-    let name = format!("upstream-{index:04}");
-    let node = ident::NodeId::of(&name);
-    let services = (balancers.len() * DESIGN_RECORDS / DESIGN_BALANCERS).max(1);
-    exchange::Heartbeat {
-        member: member::Member {
-            node,
-            incarnation: ident::Incarnation(1 << 56),
-            change: 1,
-            name,
-            service: service_name(index % services),
-            domain: format!("domain-{}", index % DOMAIN_COUNT),
-            packets: address(2, index, 7_003),
-            http: address(2, index, 7_004),
-            state: member::State::Ready,
-            step: 4,
-            watchers: membership::select_watchers(node, balancers),
-        },
-        seq: 0,
-        version: 1,
-        digest: 1 << 60,
-    }
-}
-
-fn service_name(index: usize) -> String {
-    format!("service-{index:04}")
-}
-
-/// Returns the versions of all records; the first `changed` have version 2 instead of 1.
-fn record_versions(records: usize, changed: usize) -> Vec<exchange::RecordVersion> {
-    let record = |index| exchange::RecordVersion {
-        name: service_name(index),
-        version: if index < changed { 2 } else { 1 },
-    };
-    (0..records).map(record).collect()
-}
-
-fn services(records: usize, changed: usize) -> Vec<exchange::VersionedService> {
-    let versioned = |record: exchange::RecordVersion| exchange::VersionedService {
-        name: record.name,
-        version: record.version,
-        service: None,
-    };
-    record_versions(records, changed)
-        .into_iter()
-        .map(versioned)
-        .collect()
-}
-
 /// Returns the resident memory of this process in bytes.
 fn resident_bytes() -> usize {
     const PAGE: usize = 4_096;
