Start the programs with one function

Version flag, settings file and the report of a failure stood in each program. They are in daemon now, with the command that both daemons' command lines yield. No change of behaviour; exit codes and messages are those of before.

--- a/src/bin/cassiacross-agent/app.rs
+++ b/src/bin/cassiacross-agent/app.rs
@@ -1,14 +1,12 @@
 //! Startup and shutdown of the agent daemon.
 
 use std::{
-    fs,
     net::SocketAddr,
-    path::Path,
     sync::{Arc, Mutex},
 };
 
 use anyhow::Context;
-use cassiacross::{clock, ident, member, seal, settings, udp};
+use cassiacross::{clock, daemon, ident, member, seal, settings, udp};
 use gotham::router::Router;
 use prometheus_client::registry::Registry;
 use serde::Serialize;
@@ -17,7 +15,7 @@
     signal::unix,
 };
 
-use crate::{balancer_client, cli, control, counters, datagrams, drain, http, shared};
+use crate::{balancer_client, control, counters, datagrams, drain, http, shared};
 
 /// The addresses that the daemon's sockets are bound to, printed as one line of JSON.
 #[derive(Serialize)]
@@ -29,21 +27,8 @@
 }
 
 /// Runs the daemon, or validates its settings.
-pub(crate) fn run(command: cli::Command) -> anyhow::Result<()> {
-    match command {
-        cli::Command::CheckSettings(path) => {
-            read_settings(&path)?;
-            println!("settings are valid");
-            Ok(())
-        }
-        cli::Command::Run(path) => serve(read_settings(&path)?),
-    }
-}
-
-fn read_settings(path: &Path) -> anyhow::Result<settings::Agent> {
-    let text = fs::read_to_string(path)
-        .with_context(|| format!("cannot read settings file {}", path.display()))?;
-    Ok(settings::parse_agent(&text)?)
+pub(crate) fn run(command: daemon::Command) -> anyhow::Result<()> {
+    daemon::run(command, settings::parse_agent, serve)
 }
 
 fn serve(settings: settings::Agent) -> anyhow::Result<()> {
--- a/src/bin/cassiacross-agent/main.rs
+++ b/src/bin/cassiacross-agent/main.rs
@@ -11,25 +11,16 @@
 mod http;
 mod shared;
 
-use std::{env, process::ExitCode};
+use std::process::ExitCode;
 
-use cassiacross::version;
+use cassiacross::daemon;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    if let Some(line) = version::version_line("cassiacross-agent", env::args_os().nth(1).as_deref())
-    {
-        println!("{line}");
-        return ExitCode::SUCCESS;
-    }
-    env_logger::init();
-    match app::run(cli::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("cassiacross-agent: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::main("cassiacross-agent", || {
+        env_logger::init();
+        app::run(cli::parse())
+    })
 }
--- a/src/bin/cassiacross-balancer/app.rs
+++ b/src/bin/cassiacross-balancer/app.rs
@@ -1,9 +1,7 @@
 //! Startup and shutdown of the balancer daemon.
 
 use std::{
-    fs,
     net::{SocketAddr, SocketAddrV4},
-    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -14,7 +12,8 @@
 
 use anyhow::Context;
 use cassiacross::{
-    admin, balancer, change, clock, gossip, ident, member, membership, platform, settings, udp,
+    admin, balancer, change, clock, daemon, gossip, ident, member, membership, platform, settings,
+    udp,
 };
 use serde::Serialize;
 use tokio::{
@@ -23,7 +22,7 @@
     time,
 };
 
-use crate::{cli, configuration, control, forwarder, http, peers, shared};
+use crate::{configuration, control, forwarder, http, peers, shared};
 
 /// Shortest time for which the balancer keeps forwarding after `/ready` has changed to 503.
 const MIN_DRAIN: Duration = Duration::from_secs(1);
@@ -43,21 +42,10 @@
 }
 
 /// Runs the daemon, or validates its settings.
-pub(crate) fn run(command: cli::Command) -> anyhow::Result<()> {
-    match command {
-        cli::Command::CheckSettings(path) => {
-            read_settings(&path)?;
-            println!("settings are valid");
-            Ok(())
-        }
-        cli::Command::Run(path) => serve(&read_settings(&path)?),
-    }
-}
-
-fn read_settings(path: &Path) -> anyhow::Result<settings::Balancer> {
-    let text = fs::read_to_string(path)
-        .with_context(|| format!("cannot read settings file {}", path.display()))?;
-    Ok(settings::parse_balancer(&text)?)
+pub(crate) fn run(command: daemon::Command) -> anyhow::Result<()> {
+    daemon::run(command, settings::parse_balancer, |settings| {
+        serve(&settings)
+    })
 }
 
 fn serve(settings: &settings::Balancer) -> anyhow::Result<()> {
--- a/src/bin/cassiacross-balancer/cli.rs
+++ b/src/bin/cassiacross-balancer/cli.rs
@@ -1,15 +1,6 @@
 //! Command line of the balancer.
 
-use std::path::PathBuf;
-
-/// The subcommand on the command line, with the path of the settings file.
-#[derive(Debug)]
-pub(crate) enum Command {
-    /// Run the daemon with the settings at this path.
-    Run(PathBuf),
-    /// Validate the settings at this path and exit.
-    CheckSettings(PathBuf),
-}
+use cassiacross::daemon::Command;
 
 mod flags {
     use std::path::PathBuf;
--- a/src/bin/cassiacross-balancer/main.rs
+++ b/src/bin/cassiacross-balancer/main.rs
@@ -11,26 +11,16 @@
 mod peers;
 mod shared;
 
-use std::{env, process::ExitCode};
+use std::process::ExitCode;
 
-use cassiacross::version;
+use cassiacross::daemon;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 fn main() -> ExitCode {
-    if let Some(line) =
-        version::version_line("cassiacross-balancer", env::args_os().nth(1).as_deref())
-    {
-        println!("{line}");
-        return ExitCode::SUCCESS;
-    }
-    env_logger::init();
-    match app::run(cli::parse()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("cassiacross-balancer: {error:#}");
-            ExitCode::FAILURE
-        }
-    }
+    daemon::main("cassiacross-balancer", || {
+        env_logger::init();
+        app::run(cli::parse())
+    })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod config_transfer;
 pub mod connection;
 pub mod conntrack;
+pub mod daemon;
 pub mod displaced;
 pub mod domain_digest;
 pub mod endpoint;
