--- a/src/clock.rs
+++ b/src/clock.rs
@@ -28,6 +28,24 @@
     pub const fn to_duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
+
+    /// Converts the span to a number of milliseconds for calculations.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "spans are short")]
+    pub const fn to_f64(self) -> f64 {
+        self.0 as f64
+    }
+
+    /// Returns the span of a number of milliseconds, rounded down; zero if it is negative.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the conversion saturates"
+    )]
+    pub const fn from_f64(millis: f64) -> Self {
+        Self(millis as u64)
+    }
 }
 
 impl Add for Millis {
--- a/src/load.rs
+++ b/src/load.rs
@@ -80,7 +80,7 @@
         let Some(service_time) = service_time else {
             return;
         };
-        let sample = to_float(service_time);
+        let sample = service_time.to_f64();
         self.mean_ms += (sample - self.mean_ms) * SMOOTHING_FACTOR;
         self.capacity.add(sample, CAPACITY_SMOOTHING_FACTOR);
     }
@@ -100,7 +100,7 @@
     /// Returns the moving average of the service time.
     #[must_use]
     pub fn mean_time(&self) -> Millis {
-        to_millis(self.mean_ms)
+        Millis::from_f64(self.mean_ms)
     }
 
     /// Returns whether a slot is free for one more request, if `expected` others are
@@ -115,7 +115,7 @@
     #[must_use]
     pub fn expected_wait(&self, expected: u32) -> Millis {
         let ahead = (self.busy + expected + 1).saturating_sub(self.slots);
-        to_millis(self.mean_ms * (1.0 + f64::from(ahead) / f64::from(self.slots)))
+        Millis::from_f64(self.mean_ms * (1.0 + f64::from(ahead) / f64::from(self.slots)))
     }
 
     /// Returns the capacity to report, in steps of [`member::capacity`].
@@ -134,17 +134,3 @@
         member::capacity_step(f64::from(self.slots) * 1_000.0 / service_time / UNIT_RATE)
     }
 }
-
-#[expect(clippy::cast_precision_loss, reason = "durations are short")]
-const fn to_float(duration: Millis) -> f64 {
-    duration.0 as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "durations are short and positive"
-)]
-const fn to_millis(duration: f64) -> Millis {
-    Millis(duration as u64)
-}
--- a/src/pacer.rs
+++ b/src/pacer.rs
@@ -155,14 +155,14 @@
     /// is queued.
     #[must_use]
     pub fn due(&self) -> Option<Millis> {
-        let wait = to_millis(1.0 + (-self.tokens).max(0.0) / self.rate);
+        let wait = Millis::from_f64(1.0 + (-self.tokens).max(0.0) / self.rate);
         (self.backlog > 0).then(|| self.refilled + wait)
     }
 
     /// Returns the time that the queued datagrams take up the link.
     #[must_use]
     pub fn delay(&self) -> Millis {
-        to_millis(to_float(self.backlog) / self.rate)
+        Millis::from_f64(to_float(self.backlog) / self.rate)
     }
 
     /// Returns the number of queued datagrams that were dropped in favour of more urgent
@@ -173,8 +173,8 @@
     }
 
     fn refill(&mut self, now: Millis) {
-        let burst = (self.rate * span(BURST)).max(MIN_BURST);
-        let earned = span(now.since(self.refilled)) * self.rate;
+        let burst = (self.rate * BURST.to_f64()).max(MIN_BURST);
+        let earned = now.since(self.refilled).to_f64() * self.rate;
         self.tokens = (self.tokens + earned).min(burst);
         self.refilled = now;
     }
@@ -190,7 +190,7 @@
     /// Drops the newest datagrams of less urgent classes until one of `len` bytes fits
     /// into the queue. Returns whether it fits.
     fn make_room(&mut self, class: Class, len: usize) -> bool {
-        let limit = self.rate * span(MAX_BACKLOG);
+        let limit = self.rate * MAX_BACKLOG.to_f64();
         while to_float(self.backlog + len) > limit {
             let mut lower = self.queues[class as usize + 1..].iter_mut().rev();
             let Some(dropped) = lower.find_map(VecDeque::pop_back) else {
@@ -211,21 +211,7 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "spans are short")]
-const fn span(duration: Millis) -> f64 {
-    duration.0 as f64
-}
-
 #[expect(clippy::cast_precision_loss, reason = "sizes are small")]
 const fn to_float(bytes: usize) -> f64 {
     bytes as f64
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "durations are short and positive"
-)]
-const fn to_millis(duration: f64) -> Millis {
-    Millis(duration as u64)
-}
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -256,7 +256,7 @@
         }
         let expected_time = self.expected_wait(index, deadline) + self.service_bound(index);
         let is_probe = self.classes[index].waiting.is_empty() && self.is_stale(index, now);
-        if self.policy.deadlines && !is_probe && expected_time > millis_between(deadline, now) {
+        if self.policy.deadlines && !is_probe && expected_time > deadline.since(now).to_f64() {
             return Decision::Refuse(Refusal::Late);
         }
         Decision::Wait(self.enqueue(index, deadline))
@@ -293,7 +293,7 @@
 
     /// Releases the slot of a request and records its service time.
     pub fn complete(&mut self, class: record::Class, started: clock::Millis, now: clock::Millis) {
-        let service = millis_between(now, started).max(0.5);
+        let service = now.since(started).to_f64().max(0.5);
         let index = self.index(class);
         self.classes[index].service.add(service, CLASS_GAIN);
         self.classes[index].estimated_at = now;
@@ -307,7 +307,7 @@
         self.decay(now);
         let index = self.index(class);
         let queue = &mut self.classes[index];
-        queue.used += millis_between(now, started);
+        queue.used += now.since(started).to_f64();
         queue.running = queue.running.saturating_sub(1);
     }
 
@@ -419,7 +419,7 @@
     /// If the estimate is stale, the request may start as a probe. At most one probe per
     /// [`MAX_ESTIMATE_AGE`] starts, until a probe has renewed the estimate.
     fn can_finish(&mut self, index: usize, deadline: clock::Millis, now: clock::Millis) -> bool {
-        if self.service_bound(index) <= millis_between(deadline, now) {
+        if self.service_bound(index) <= deadline.since(now).to_f64() {
             return true;
         }
         let is_probe = deadline > now && self.is_stale(index, now);
@@ -551,7 +551,7 @@
 
     /// Applies the exponential decay of the usage statistics up to `now`.
     fn decay(&mut self, now: clock::Millis) {
-        let factor = (-millis_between(now, self.decayed_at) / DECAY_MS).exp();
+        let factor = (-now.since(self.decayed_at).to_f64() / DECAY_MS).exp();
         for queue in &mut self.classes {
             queue.used *= factor;
             queue.arrived *= factor;
@@ -560,13 +560,7 @@
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts and durations are small")]
+#[expect(clippy::cast_precision_loss, reason = "counts are small")]
 const fn to_f64(n: usize) -> f64 {
     n as f64
 }
-
-/// Returns the time from `earlier` to `later` in milliseconds, 0 if it is negative.
-#[expect(clippy::cast_precision_loss, reason = "counts and durations are small")]
-fn millis_between(later: clock::Millis, earlier: clock::Millis) -> f64 {
-    later.since(earlier).0 as f64
-}
