--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -2,8 +2,8 @@
 //!
 //! Nodes exchange heartbeats, digests of failure domains, membership entries and pages of
 //! the configuration. Periodic heartbeats stay within a failure domain; changes of a node's
-//! entry are sent to all. The platform, the seed addresses and the peers are independent sources of this state; a
-//! node uses whichever answers first.
+//! entry are sent to all. The platform, the seed addresses and the peers are independent
+//! sources of this state; a node uses whichever answers first.
 
 use std::net::SocketAddrV4;
 
@@ -27,8 +27,9 @@
 /// node that replies sends the entries that it knows, and one reply is enough.
 const MAX_CONTACTS: usize = 3;
 
-/// The contact interval while no other node has replied. It is short, because the hosts of a fleet that
-/// comes back start one after the other, and a node without contacts asks the platform.
+/// The contact interval while no other node has replied. It is short, because the hosts of
+/// a fleet that comes back start one after the other, and a node without contacts asks the
+/// platform.
 const FIRST_CONTACT_INTERVAL: Millis = Millis(150);
 
 /// Period of a balancer's heartbeats to agents. Agents need them to learn where to send
