--- a/review/cases/src/main.rs
+++ b/review/cases/src/main.rs
@@ -15,7 +15,7 @@
     env, fs,
     net::{Ipv4Addr, SocketAddrV4},
     panic,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::ExitCode,
     sync::Arc,
     thread,
@@ -46,12 +46,12 @@
 
 fn main() -> ExitCode {
     let mut words = env::args().skip(1);
-    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
-        eprintln!("usage: review-cases CASE FOLDER");
+    let (Some(case), Some(path)) = (words.next(), words.next()) else {
+        eprintln!("usage: review-cases CASE RECORD");
         return ExitCode::from(2);
     };
     let trouble = env::var("TROUBLE").as_deref() != Ok("0");
-    let record = match Record::create(&PathBuf::from(folder).join("record.txt")) {
+    let record = match Record::create(Path::new(&path)) {
         Ok(record) => record,
         Err(error) => {
             eprintln!("cannot write the record: {error}");
