--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -2,6 +2,7 @@
 //! and tracks the upstream's health.
 
 mod actions;
+mod ownership;
 
 use std::{net::SocketAddrV4, time::Duration};
 
@@ -16,7 +17,7 @@
 use crate::{
     balancer_loop, chains,
     clock::{self, Millis},
-    conntrack, header, ident, member, pacer,
+    conntrack, flow_recovery, header, ident, member, pacer,
     packet::Flow,
     peer_sync, polling, protocol, roster, segment, socket, status, steering, telemetry, transport,
 };
@@ -78,8 +79,7 @@
 #[derive(Serialize)]
 struct Dump<'a> {
     now: Millis,
-    /// Whether all flows of the upstream are tracked.
-    complete: bool,
+    recovery: &'a flow_recovery::Recovery,
     leaving: bool,
     status: &'a status::Status,
     busy: u32,
@@ -112,8 +112,7 @@
     chains: chains::Chains,
     /// Roster revision from which the chains were built.
     chains_revision: Option<u64>,
-    /// Whether all flows of the upstream are tracked.
-    complete: bool,
+    recovery: flow_recovery::Recovery,
     leaving: bool,
     probe_results: mpsc::Sender<bool>,
     telemetry: telemetry::Telemetry,
@@ -153,6 +152,7 @@
                     info!("agent is shutting down");
                     stop_at = Some(agent.clock.now() + linger);
                     agent.leaving = true;
+                    agent.hand_over(Millis(0));
                     agent.peers.update_self(|me| me.leaving = true);
                 }
                 Some(event) => agent.handle_event(event),
@@ -166,7 +166,9 @@
         }
         agent.flush();
         let now = agent.clock.now();
-        if stop_at.is_some_and(|at| now >= at || agent.flows.load().busy() == 0) {
+        if let Some(at) = stop_at.filter(|at| now >= *at || agent.flows.load().busy() == 0) {
+            agent.hand_over(at - linger);
+            agent.flush();
             info!("agent stopped");
             return Ok(());
         }
@@ -203,7 +205,7 @@
         peers,
         status: status::Status::new(service, settings.report_period),
         flows: steering::Flows::new(own_address),
-        complete: settings.first_start,
+        recovery: flow_recovery::Recovery::new(settings.first_start),
         leaving: false,
         probe_results,
         telemetry,
@@ -270,7 +272,7 @@
         let load = self.flows.load();
         let dump = Dump {
             now,
-            complete: self.complete,
+            recovery: &self.recovery,
             leaving: self.leaving,
             status: &self.status,
             busy: load.busy(),
@@ -293,7 +295,8 @@
             steering::Action::Deliver(0) | steering::Action::Answer => return,
             steering::Action::Deliver(_)
             | steering::Action::Send(_)
-            | steering::Action::Disown(..)
+            | steering::Action::ReplySearch(..)
+            | steering::Action::ReplyOwner(..)
             | steering::Action::Drop(
                 steering::DropReason::NotOwned | steering::DropReason::Searched,
             ) => telemetry::Severity::Routine,
@@ -317,7 +320,7 @@
             mean_ms = load.mean_time().0,
             report_age_ms = now.since(self.status.reported_at()).0,
             roster = self.peers.roster().revision(),
-            complete = self.complete,
+            tracking:? = self.recovery.tracking(),
             left_out = suppressed;
             "flow decision"
         );
@@ -344,15 +347,24 @@
     }
 
     fn handle_report(&mut self, report: status::Report) {
-        let was_known = self.status.report().is_some();
-        let (state, slots) = (report.state, report.slots);
+        let was_followed = self.status.is_followed();
+        let (state, slots, seq) = (report.state, report.slots, report.seq);
+        let age = clock::wall().since(report.born);
         let id = report.id.clone();
-        match self.status.apply(report, self.clock.now()) {
+        let now = self.clock.now();
+        match self.status.apply(report, now) {
             status::Effect::NewRun => {
-                info!(upstream = id, slots = slots, state:? = state; "upstream started");
+                info!(
+                    upstream = id, slots = slots, state:? = state, seq = seq, age_ms = age.0;
+                    "upstream started"
+                );
+                self.recovery
+                    .record_report(flow_recovery::FirstReport { seq, age });
                 // A run that replaces a known one started after this agent, which therefore
                 // has seen all of its flows.
-                self.complete |= was_known;
+                if was_followed {
+                    self.recovery.complete(now);
+                }
                 self.flows.load_mut().set_slots(slots);
             }
             status::Effect::Updated => self.flows.load_mut().set_slots(slots),
@@ -386,7 +398,7 @@
     fn drop_upstream(&mut self) {
         let mut actions = Vec::new();
         self.flows.reset_all(&mut actions);
-        self.complete = true;
+        self.recovery.complete(self.clock.now());
         self.update_entry();
         for action in actions {
             self.log_decision(None, &action);
@@ -431,7 +443,7 @@
         self.refresh_chains();
         let mut context = steering::Context {
             accepts: self.accepts_flows(),
-            complete: self.complete,
+            tracking: self.recovery.tracking(),
             chains: &mut self.chains,
             roster: self.peers.roster(),
             seed: self.hash_seed,
@@ -442,8 +454,11 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
-        self.complete |= now >= COMPLETE_AFTER;
+        if now >= COMPLETE_AFTER {
+            self.recovery.complete(now);
+        }
         self.peers.tick(now);
+        self.recover_flows();
         self.update_entry();
         let mut actions = Vec::new();
         self.decide(|flows, context| flows.tick(context, &mut actions));
@@ -484,21 +499,12 @@
     }
 
     fn handle_datagram(&mut self, bytes: &[u8], from: SocketAddrV4) {
-        let now = self.clock.now();
         match self.transport.open(bytes) {
             Ok(transport::Content::Packet(header, packet)) => {
                 let packet = packet.to_vec();
                 self.handle_inbound(header, packet);
             }
-            Ok(transport::Content::Message(protocol::Message::Own { owner, flows })) => {
-                self.flows.learn_owners(owner, &flows, now);
-            }
-            Ok(transport::Content::Message(protocol::Message::Unowned { node, flows })) => {
-                self.flows.record_not_owned(node, &flows);
-            }
-            Ok(transport::Content::Message(message)) => {
-                self.peers.receive(from, message, now);
-            }
+            Ok(transport::Content::Message(message)) => self.handle_message(from, message),
             Err(error) => {
                 self.telemetry.count_unreadable();
                 debug!(from:% = from, error:% = error; "dropping unreadable datagram");
--- a/src/agent_loop/actions.rs
+++ b/src/agent_loop/actions.rs
@@ -40,9 +40,19 @@
             steering::Action::Search(header, nodes) => {
                 self.send_search(header, &nodes, packet);
             }
-            steering::Action::Disown(requester, flow) => {
-                let message = protocol::Message::Unowned {
-                    node: self.peers.roster().me().node,
+            steering::Action::ReplySearch(requester, flow, reply) => {
+                let me = self.peers.roster().me();
+                let message = protocol::Message::Searched {
+                    node: me.node,
+                    incarnation: me.incarnation,
+                    flow,
+                    reply,
+                };
+                self.send_message(requester.addr, &message);
+            }
+            steering::Action::ReplyOwner(requester, flow, claim) => {
+                let message = protocol::Message::Confirmed {
+                    owner: claim.owner,
                     flows: vec![flow],
                 };
                 self.send_message(requester.addr, &message);
@@ -56,7 +66,7 @@
         }
     }
 
-    /// Sends a packet to each of the agents.
+    /// Sends a packet to each of the agents, and on along its chain.
     fn send_search(
         &mut self,
         mut header: protocol::Header,
@@ -69,6 +79,12 @@
             .iter()
             .filter_map(|node| roster.find(*node)?.entry.hop());
         let hops: Vec<_> = known.collect();
+        if header.hops.len() > 1 {
+            let mut rest = header.clone();
+            rest.mode = protocol::Mode::Chain;
+            rest.hops.remove(0);
+            self.forward(&rest, packet);
+        }
         for hop in hops {
             header.hops = vec![protocol::ServiceHop {
                 service: self.service,
@@ -86,7 +102,7 @@
             .send_packet(sockets, header, packet, FORWARDED, now);
     }
 
-    fn send_message(&mut self, to: SocketAddrV4, message: &protocol::Message) {
+    pub(super) fn send_message(&mut self, to: SocketAddrV4, message: &protocol::Message) {
         let now = self.clock.now();
         let sockets = single_socket(&self.packet_socket);
         self.transport.send_message(sockets, to, message, now);
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -254,6 +254,7 @@
             messages: control_socket,
         };
         let is_reachable = peers.roster().is_platform_reachable();
+        let knows_services = peers.knows_services(now);
         tables.refresh(peers.roster());
         packet_socket.receive(|bytes, _from| {
             let segment = match (codec.parse)(bytes) {
@@ -271,7 +272,8 @@
                 *hash_seed,
                 &segment,
             ) {
-                Ok(header) => {
+                Ok(mut header) => {
+                    header.scope.partial = !knows_services && !segment.syn;
                     let priority = routing::priority(peers.config(), *hash_seed, &segment);
                     transport.send_packet(sockets, &header, bytes, priority, now);
                 }
--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -6,6 +6,7 @@
 use crate::{
     chains::HOMES,
     clock::Millis,
+    flow_recovery::OwnedFlow,
     ident::{DomainId, Incarnation, NodeId},
     load,
     packet::Flow,
@@ -28,9 +29,13 @@
 /// Time after which an unanswered request no longer counts as load.
 const REQUEST_TIMEOUT: Millis = Millis(15_000);
 
-/// Home agents to which the owner of a flow has announced itself, with their
-/// incarnations.
-pub type Homes = [Option<(NodeId, Incarnation)>; HOMES];
+/// Age from which a flow counts as one that stays open, whose owner is confirmed to its homes
+/// and to one more agent.
+const CONFIRM_AGE: Millis = Millis(1_000);
+
+/// Agents to which the owner of a flow has announced itself, with their incarnations: the
+/// homes, and one more if the owner is confirmed.
+pub type Homes = [Option<(NodeId, Incarnation)>; HOMES + 1];
 
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Request {
@@ -53,8 +58,10 @@
     pub origin: DomainId,
     /// Last acknowledgement number of the caller, used as the sequence number of a reset.
     pub ack: u32,
-    /// Home agents that know the owner of the flow.
+    /// Agents that know the owner of the flow.
     pub homes: Homes,
+    /// Whether the owner has been confirmed to them.
+    pub announced: bool,
     /// Time at which the flow was opened or first seen.
     opened: Millis,
     /// Time of the last packet.
@@ -63,6 +70,9 @@
     isn: Option<u32>,
     /// Whether the caller has completed the handshake.
     confirmed: bool,
+    /// Whether the flow is known from another agent only: no packet of the upstream has shown
+    /// it yet.
+    recovered: bool,
     /// Whether the first request is still expected.
     fresh: bool,
     /// Sequence number after the caller's last data.
@@ -85,11 +95,13 @@
             flow,
             origin,
             ack: 0,
-            homes: [None; HOMES],
+            homes: [None; HOMES + 1],
+            announced: false,
             opened: now,
             last: now,
             isn: None,
             confirmed: false,
+            recovered: false,
             fresh: true,
             sent: None,
             request: None,
@@ -112,6 +124,33 @@
         }
     }
 
+    /// Creates the entry of a flow that another agent knows to be owned here, since before the
+    /// start of this agent.
+    #[must_use]
+    pub fn from_peer(owned: OwnedFlow, origin: DomainId, now: Millis) -> Self {
+        Self {
+            opened: now - CONFIRM_AGE,
+            confirmed: owned.confirmed,
+            recovered: true,
+            fresh: false,
+            ..Self::new(owned.flow, origin, now)
+        }
+    }
+
+    /// Returns whether the flow is known from another agent only.
+    #[must_use]
+    pub const fn is_recovered(&self) -> bool {
+        self.recovered
+    }
+
+    /// Returns whether the owner of the flow is to be confirmed to its homes now: the flow is
+    /// open and stays so.
+    #[must_use]
+    pub fn awaits_confirmation(&self, now: Millis) -> bool {
+        let is_old = now.since(self.opened) >= CONFIRM_AGE;
+        !self.announced && self.confirmed && self.is_open() && is_old
+    }
+
     /// Returns whether the caller has completed the handshake with this upstream.
     #[must_use]
     pub const fn is_confirmed(&self) -> bool {
@@ -148,7 +187,7 @@
     /// If two agents accepted copies of the same SYN, this first acknowledgement shows
     /// which of them the caller is connected to.
     pub const fn confirm(&mut self, segment: &Segment) -> bool {
-        if self.confirmed || segment.syn || segment.reset {
+        if self.confirmed || self.recovered || segment.syn || segment.reset {
             return true;
         }
         let Some(isn) = self.isn else {
@@ -197,6 +236,7 @@
             return None;
         }
         self.confirmed |= !segment.reset;
+        self.recovered &= segment.reset;
         let request = self.request.take_if(|_| segment.len > 0);
         let service_time = request.map(|request| {
             let service_time = now.since(request.since);
@@ -219,7 +259,8 @@
     /// the entry has expired.
     pub fn expire(&mut self, load: &mut load::Load, now: Millis) -> bool {
         let timed_out = |request: &Request| now.since(request.since) >= REQUEST_TIMEOUT;
-        let half_open = !self.confirmed && now.since(self.opened) >= HALF_OPEN_TIMEOUT;
+        let is_half_open = !self.confirmed && !self.recovered;
+        let half_open = is_half_open && now.since(self.opened) >= HALF_OPEN_TIMEOUT;
         let ended = self.ended.is_some_and(|at| now.since(at) >= ENDED_TIMEOUT);
         let expired = half_open || ended || now.since(self.last) >= IDLE_TIMEOUT;
         if expired || self.request.as_ref().is_some_and(timed_out) {
--- /dev/null
+++ b/src/flow_recovery.rs
@@ -0,0 +1,267 @@
+//! Recovery of the flow table of an agent that was restarted beside its running upstream.
+//!
+//! The homes of a flow know its owner, so a restarted agent requests its flows, page by page,
+//! from all live agents of its service. The recovery is complete once each of them has sent
+//! its last page, unless so many of them have lost their own tables that flows may be unknown
+//! to all.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Millis,
+    ident::{Incarnation, NodeId, ServiceId},
+    packet::Flow,
+    roster,
+};
+
+/// Maximum number of flows in one page, so that a datagram stays below 1,400 bytes.
+pub const MAX_FLOWS: usize = 32;
+
+/// Time after which a page that has not arrived is requested again.
+const RETRY_INTERVAL: Millis = Millis(200);
+
+/// Time after the start of the agent at which a recovery that is not complete ends.
+const TIMEOUT: Millis = Millis(5_000);
+
+/// Time before the start of the agent from which crashes of other agents count: those that
+/// started earlier have been told of the agent's flows since.
+const CRASH_SPAN: Millis = Millis(10_000);
+
+/// Number of agents of the service that may have crashed without a loss of flows, as each
+/// flow that stays open is known to two agents besides its owner.
+const MAX_CRASHES: usize = 1;
+
+/// Largest number of the report with which an upstream that has just started may reach its
+/// agent for the first time.
+const MAX_FIRST_REPORT: u64 = 3;
+
+/// Request for a page of the flows that the sender owns.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Request {
+    /// Agent that owns the flows.
+    pub owner: NodeId,
+    /// Last flow of the page before, `None` for the first page.
+    pub after: Option<Flow>,
+}
+
+/// Flow that the receiver owns.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OwnedFlow {
+    /// The flow.
+    pub flow: Flow,
+    /// Whether it was opened there, and not only its SYN accepted.
+    pub confirmed: bool,
+}
+
+/// Page of the flows that an agent owns according to another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Page {
+    /// Agent that sends the page.
+    pub node: NodeId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// The request's `after`.
+    pub after: Option<Flow>,
+    /// Flows after it in order, at most [`MAX_FLOWS`].
+    pub flows: Vec<OwnedFlow>,
+    /// Whether more flows follow.
+    pub more: bool,
+    /// Time since the start of the sender.
+    pub uptime: Millis,
+    /// Whether the sender knew an earlier run of the owner.
+    pub knew_owner: bool,
+    /// Number of other agents of the service that have recently crashed, as far as the
+    /// sender knows.
+    pub crashes: usize,
+}
+
+/// What an agent knows of the flows of its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum Tracking {
+    /// All of them.
+    Complete,
+    /// Not all yet: the others are still being asked.
+    Recovering,
+    /// Not all, and the other agents cannot tell.
+    Partial,
+}
+
+/// First status report of the upstream after the start of the agent.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct FirstReport {
+    /// Number of the report in the upstream's run.
+    pub seq: u64,
+    /// Age of the upstream according to the wall clock.
+    pub age: Millis,
+}
+
+/// Progress of the pages of one agent.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Source {
+    node: NodeId,
+    incarnation: Incarnation,
+    after: Option<Flow>,
+    requested: Option<Millis>,
+    done: bool,
+}
+
+/// State of a recovery.
+#[derive(Clone, Debug, Serialize)]
+pub struct Recovery {
+    tracking: Tracking,
+    /// Time at which the recovery ended.
+    ended: Option<Millis>,
+    first_report: Option<FirstReport>,
+    /// Agents that are asked, sorted by node.
+    sources: Vec<Source>,
+    /// Whether any agent has been up since well before this one.
+    has_witness: bool,
+    /// Whether any agent knew an earlier run of this one.
+    has_predecessor: bool,
+    /// Largest number of crashed agents that was reported.
+    crashes: usize,
+}
+
+impl Recovery {
+    /// Creates the state of an agent that starts now. If the whole fleet starts for the first
+    /// time, there is nothing to recover.
+    #[must_use]
+    pub const fn new(first_start: bool) -> Self {
+        Self {
+            tracking: if first_start {
+                Tracking::Complete
+            } else {
+                Tracking::Recovering
+            },
+            ended: None,
+            first_report: None,
+            sources: Vec::new(),
+            has_witness: false,
+            has_predecessor: false,
+            crashes: 0,
+        }
+    }
+
+    /// Returns what is known of the upstream's flows.
+    #[must_use]
+    pub const fn tracking(&self) -> Tracking {
+        self.tracking
+    }
+
+    /// Records that all flows of the upstream are tracked, because it started after the agent
+    /// or because flows that were opened before cannot be open any more.
+    pub fn complete(&mut self, now: Millis) {
+        self.tracking = Tracking::Complete;
+        self.ended.get_or_insert(now);
+    }
+
+    /// Records the first report of the upstream.
+    pub const fn record_report(&mut self, report: FirstReport) {
+        if self.first_report.is_none() {
+            self.first_report = Some(report);
+        }
+    }
+
+    /// Returns the requests that are due, each with the agent to which it is sent.
+    pub fn requests(
+        &mut self,
+        roster: &roster::Roster,
+        service: ServiceId,
+        now: Millis,
+    ) -> Vec<(NodeId, Request)> {
+        if self.tracking != Tracking::Recovering {
+            return Vec::new();
+        }
+        self.update_sources(roster, service, now);
+        let owner = roster.me().node;
+        let is_due = |source: &&mut Source| {
+            let waits = source
+                .requested
+                .is_some_and(|at| now.since(at) < RETRY_INTERVAL);
+            !source.done && !waits
+        };
+        let due = self.sources.iter_mut().filter(is_due);
+        due.map(|source| {
+            source.requested = Some(now);
+            let after = source.after;
+            (source.node, Request { owner, after })
+        })
+        .collect()
+    }
+
+    /// Records a page. Returns the request for the next page, if there is one. Pages that were
+    /// not requested are ignored.
+    pub fn receive(&mut self, page: &Page, owner: NodeId, now: Millis) -> Option<Request> {
+        let found = self
+            .sources
+            .binary_search_by_key(&page.node, |source| source.node);
+        let source = &mut self.sources[found.ok()?];
+        if source.done || source.incarnation != page.incarnation || source.after != page.after {
+            return None;
+        }
+        self.has_witness |= page.uptime > now + CRASH_SPAN;
+        self.has_predecessor |= page.knew_owner;
+        self.crashes = self.crashes.max(page.crashes);
+        let last = page.flows.last().map(|owned| owned.flow);
+        if !page.more || last <= page.after {
+            source.done = true;
+            return None;
+        }
+        source.after = last;
+        source.requested = Some(now);
+        Some(Request { owner, after: last })
+    }
+
+    /// Ends the recovery if it is decided. `settled` states whether all live agents of the
+    /// service are known. Returns whether it has ended now.
+    pub fn update(&mut self, settled: bool, now: Millis) -> bool {
+        if self.tracking != Tracking::Recovering {
+            return false;
+        }
+        let answered = settled && self.sources.iter().all(|source| source.done);
+        if !answered && now < TIMEOUT {
+            return false;
+        }
+        self.ended = Some(now);
+        self.tracking = if answered && self.is_reliable() {
+            Tracking::Complete
+        } else {
+            Tracking::Partial
+        };
+        true
+    }
+
+    /// Returns whether no flow of the upstream can be unknown to all agents that were asked.
+    fn is_reliable(&self) -> bool {
+        let is_new = |report: FirstReport| {
+            report.seq <= MAX_FIRST_REPORT && report.age < CRASH_SPAN && !self.has_predecessor
+        };
+        let known = self.has_witness && self.crashes <= MAX_CRASHES;
+        known || self.first_report.is_some_and(is_new)
+    }
+
+    /// Adds the live agents of the service, and starts anew with those that were restarted.
+    fn update_sources(&mut self, roster: &roster::Roster, service: ServiceId, now: Millis) {
+        let peers = roster.peers().iter();
+        let live = peers.filter(|peer| {
+            let entry = &peer.entry;
+            let of_service = entry.service() == Some(service);
+            of_service && !peer.silent && !entry.leaving && !roster.is_gone(entry.node, now)
+        });
+        let sources = live.map(|peer| {
+            let (node, incarnation) = (peer.entry.node, peer.entry.incarnation);
+            let found = self.sources.binary_search_by_key(&node, |s| s.node);
+            let known = found.ok().map(|at| self.sources[at]);
+            known
+                .filter(|source| source.incarnation == incarnation)
+                .unwrap_or(Source {
+                    node,
+                    incarnation,
+                    after: None,
+                    requested: None,
+                    done: false,
+                })
+        });
+        self.sources = sources.collect();
+    }
+}
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -1,33 +1,66 @@
 //! Cache of the agents that own flows not tracked here, pending searches for owners that
 //! are not known, and flows that the own upstream is known not to have.
-
-use std::mem;
+//!
+//! An agent claims a flow when it accepts the SYN. A copy of the SYN may have reached another
+//! upstream, so a claim is no proof. The owner confirms flows that stay open, and a confirmed
+//! owner is the only one that the flow ever has.
 
 use serde::Serialize;
-use xxhash_rust::xxh3;
 
 use crate::{
     clock::Millis,
     conntrack::{ENDED_TIMEOUT, IDLE_TIMEOUT},
-    ident::{Incarnation, NodeId},
+    ident::{Incarnation, NodeId, ServiceId},
     packet::Flow,
-    protocol::ServiceHop,
+    protocol::{Reply, Scope, ServiceHop},
 };
 
 /// Minimum interval between two searches for the owner of one flow.
 const SEARCH_INTERVAL: Millis = Millis(100);
 
+/// Time after which a claim that was not confirmed expires: a live owner has confirmed or
+/// withdrawn it by then.
+const CLAIM_TIMEOUT: Millis = Millis(5_000);
+
+/// Age of a confirmed owner from which a claim of another agent replaces it. An earlier one
+/// concerns a late copy of the SYN, a later one another flow with the same addresses.
+const REUSE_AGE: Millis = Millis(3_000);
+
+/// Time after the start of an agent's run within which a flow may have been opened there
+/// unnoticed, because the run was not yet known here.
+const START_MARGIN: Millis = Millis(1_000);
+
+/// Maximum number of upstreams to which packets of one flow are handed without knowing that
+/// they have it.
+pub const MAX_TRIALS: usize = 2;
+
 /// Maximum number of cached owners, of pending searches and of absent flows, each.
 const MAX_ENTRIES: usize = 65_536;
 
+/// Owner of a flow, according to the owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// Agent that owns the flow.
+    pub owner: ServiceHop,
+    /// Whether the flow was opened there, and not only its SYN accepted.
+    pub confirmed: bool,
+}
+
 #[derive(Clone, Copy, Debug, Serialize)]
 struct Redirect {
     flow: Flow,
-    owner: ServiceHop,
-    /// Time at which the owner announced itself.
+    claim: Claim,
+    /// Time of the last announcement.
     since: Millis,
 }
 
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Answer {
+    node: NodeId,
+    incarnation: Incarnation,
+    reply: Reply,
+}
+
 #[derive(Clone, Debug, Serialize)]
 struct Search {
     flow: Flow,
@@ -35,13 +68,41 @@
     last: Millis,
     /// Last acknowledgement number of the caller.
     ack: u32,
-    /// Hash over the agents that were asked.
-    asked: u64,
-    /// Agents that have not replied yet.
-    unheard: Vec<NodeId>,
+    /// Time at which an agent claimed the flow, if one did.
+    opened: Option<Millis>,
+    /// Services in which the flow may be, according to all packets.
+    scope: Scope,
+    /// Last replies of the agents, sorted by node.
+    answers: Vec<Answer>,
+    /// Agents that were given a packet for their upstream.
+    tried: Vec<NodeId>,
+}
+
+/// Agent that may own a searched flow.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// The agent.
+    pub node: NodeId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Time at which the run was first heard of.
+    pub started: Millis,
+    /// Whether the agent and its upstream are gone.
+    pub gone: bool,
 }
 
-/// Flow that no agent owns.
+/// Agents to which a packet of a searched flow is sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Recipients {
+    /// Agents that are asked whether they own the flow.
+    Ask(Vec<NodeId>),
+    /// Agents that do not know their flows; one of them may hand the packet to its upstream.
+    Try(Vec<NodeId>),
+    /// None: nothing new can be learned from another packet now.
+    Nobody,
+}
+
+/// Flow that no agent of the service owns.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Unowned {
     /// The flow.
@@ -81,26 +142,51 @@
         self.redirects.is_empty()
     }
 
-    /// Returns the agent that announced itself as the owner of a flow.
+    /// Returns the last claim to a flow.
     #[must_use]
-    pub fn owner(&self, flow: &Flow) -> Option<ServiceHop> {
-        let at = self.redirects.binary_search_by_key(flow, |r| r.flow).ok()?;
-        Some(self.redirects[at].owner)
+    pub fn claim(&self, flow: &Flow) -> Option<Claim> {
+        let at = self.find_redirect(flow).ok()?;
+        Some(self.redirects[at].claim)
+    }
+
+    /// Returns the flows that an agent owns, sorted, after the flow `after`.
+    pub fn flows_of(
+        &self,
+        owner: NodeId,
+        after: Option<Flow>,
+    ) -> impl Iterator<Item = (Flow, Claim)> {
+        let start = self.redirects.partition_point(|r| Some(r.flow) <= after);
+        let rest = self.redirects[start..].iter();
+        rest.filter(move |r| r.claim.owner.hop.node == owner)
+            .map(|r| (r.flow, r.claim))
+    }
+
+    /// Returns the claims that were announced since a point in time.
+    pub fn announced_since(&self, since: Millis) -> impl Iterator<Item = (Flow, Claim)> {
+        let recent = self.redirects.iter().filter(move |r| r.since >= since);
+        recent.map(|r| (r.flow, r.claim))
     }
 
-    /// Records the owner of a flow, if the cache is not full, and ends a pending search
-    /// for it.
-    pub fn learn(&mut self, flow: Flow, owner: ServiceHop, now: Millis) {
-        if let Ok(at) = self.searches.binary_search_by_key(&flow, |s| s.flow) {
+    /// Records a claim to a flow, if the cache is not full, and ends a pending search for it.
+    /// A claim that is not confirmed replaces a confirmed one only if it concerns a new flow
+    /// with the same addresses.
+    pub fn learn(&mut self, flow: Flow, claim: Claim, now: Millis) {
+        if let Ok(at) = self.find_search(&flow) {
             self.searches.remove(at);
         }
         let entry = Redirect {
             flow,
-            owner,
+            claim,
             since: now,
         };
-        match self.redirects.binary_search_by_key(&flow, |r| r.flow) {
-            Ok(at) => self.redirects[at] = entry,
+        match self.find_redirect(&flow) {
+            Ok(at) => {
+                let known = &mut self.redirects[at];
+                let outdated = now.since(known.since) >= REUSE_AGE;
+                if claim.confirmed || !known.claim.confirmed || outdated {
+                    *known = entry;
+                }
+            }
             Err(at) if self.redirects.len() < MAX_ENTRIES => self.redirects.insert(at, entry),
             Err(_) => {}
         }
@@ -108,79 +194,157 @@
 
     /// Removes the owner of a flow.
     pub fn forget(&mut self, flow: &Flow) {
-        if let Ok(at) = self.redirects.binary_search_by_key(flow, |r| r.flow) {
+        if let Ok(at) = self.find_redirect(flow) {
             self.redirects.remove(at);
         }
     }
 
-    /// Starts or repeats a search for the owner of a flow among `agents`. Returns the agents
-    /// to ask: all of them at first and after a change of the agents, otherwise those that
-    /// have not replied. Returns `None` if the last search is more recent than
-    /// `SEARCH_INTERVAL` or too many searches are pending.
+    /// Starts or repeats a search for the owner of a flow among the other agents of the
+    /// service. Returns whether a packet may be sent now: the last search is less recent than
+    /// `SEARCH_INTERVAL`, and not too many are pending.
     ///
     /// `ack` is the last acknowledgement number of the caller.
-    pub fn start_search(
-        &mut self,
-        flow: Flow,
-        ack: u32,
-        agents: impl Iterator<Item = (NodeId, Incarnation)>,
-        now: Millis,
-    ) -> Option<&[NodeId]> {
-        let found = self.searches.binary_search_by_key(&flow, |s| s.flow);
-        match found {
-            Ok(at) if now.since(self.searches[at].last) < SEARCH_INTERVAL => return None,
-            Err(_) if self.searches.len() >= MAX_ENTRIES => return None,
-            _ => {}
-        }
-        let agents: Vec<_> = agents.collect();
-        let mut search = Search {
-            flow,
-            last: now,
-            ack,
-            asked: hash_agents(&agents),
-            unheard: agents.into_iter().map(|(node, _)| node).collect(),
-        };
-        let at = match found {
+    pub fn start_search(&mut self, flow: Flow, ack: u32, scope: &Scope, now: Millis) -> bool {
+        match self.find_search(&flow) {
             Ok(at) => {
-                let previous = &mut self.searches[at];
-                if previous.asked == search.asked {
-                    search.unheard = mem::take(&mut previous.unheard);
+                let search = &mut self.searches[at];
+                search.ack = ack;
+                search.widen(scope);
+                if now.since(search.last) < SEARCH_INTERVAL {
+                    return false;
                 }
-                *previous = search;
-                at
+                search.last = now;
             }
+            Err(_) if self.searches.len() >= MAX_ENTRIES => return false,
             Err(at) => {
+                let opened = self.find_redirect(&flow).ok();
+                let search = Search {
+                    flow,
+                    last: now,
+                    ack,
+                    opened: opened.map(|at| self.redirects[at].since),
+                    scope: scope.clone(),
+                    answers: Vec::new(),
+                    tried: Vec::new(),
+                };
                 self.searches.insert(at, search);
-                at
             }
+        }
+        true
+    }
+
+    /// Returns to whom the next packet of a searched flow is sent.
+    ///
+    /// Agents that have replied that they do not own the flow are not asked again. Once all
+    /// others are gone or do not know, up to [`MAX_TRIALS`] upstreams are tried in all.
+    #[must_use]
+    pub fn recipients(&self, own: ServiceId, flow: &Flow, candidates: &[Candidate]) -> Recipients {
+        let Ok(at) = self.find_search(flow) else {
+            return Recipients::Nobody;
+        };
+        let search = &self.searches[at];
+        let open = candidates
+            .iter()
+            .filter(|candidate| !search.excludes(candidate));
+        let (trials, unheard): (Vec<&Candidate>, Vec<&Candidate>) = open
+            .filter(|candidate| !search.tried.contains(&candidate.node))
+            .partition(|candidate| search.may_try(candidate));
+        let nodes = |candidates: &[&Candidate]| {
+            let nodes = candidates.iter().map(|candidate| candidate.node);
+            nodes.collect::<Vec<_>>()
         };
-        Some(&self.searches[at].unheard)
+        let waits = unheard.iter().any(|candidate| !candidate.gone);
+        if !trials.is_empty() && !waits && search.trials() < search.max_trials(own) {
+            Recipients::Try(nodes(&trials))
+        } else if !unheard.is_empty() {
+            Recipients::Ask(nodes(&unheard))
+        } else {
+            Recipients::Nobody
+        }
     }
 
-    /// Records that an agent does not own a flow, and forgets it if it was cached as the
-    /// owner.
-    pub fn record_not_owned(&mut self, node: NodeId, flow: &Flow) {
-        if self.owner(flow).is_some_and(|owner| owner.hop.node == node) {
+    /// Returns whether a packet of a searched flow may be handed to one more upstream, that of
+    /// the agent `node`.
+    #[must_use]
+    pub fn may_try(&self, own: ServiceId, node: NodeId, flow: &Flow) -> bool {
+        self.find_search(flow).is_ok_and(|at| {
+            let search = &self.searches[at];
+            search.trials() < search.max_trials(own) && !search.tried.contains(&node)
+        })
+    }
+
+    /// Records that an agent was given a packet of a flow for its upstream.
+    pub fn record_trial(&mut self, flow: &Flow, node: NodeId) {
+        if let Ok(at) = self.find_search(flow) {
+            let tried = &mut self.searches[at].tried;
+            if !tried.contains(&node) {
+                tried.push(node);
+            }
+        }
+    }
+
+    /// Records what an agent replied to a search, or that it withdraws an announcement.
+    /// Forgets it if it was cached as the owner and says that it is not.
+    pub fn record_reply(&mut self, node: NodeId, run: Incarnation, flow: &Flow, reply: Reply) {
+        let is_denied = !matches!(reply, Reply::Unknown { .. });
+        let claim = self.claim(flow);
+        if is_denied && claim.is_some_and(|claim| claim.owner.hop.node == node) {
             self.forget(flow);
         }
-        if let Ok(at) = self.searches.binary_search_by_key(flow, |s| s.flow) {
-            self.searches[at].unheard.retain(|other| *other != node);
+        if let Ok(at) = self.find_search(flow) {
+            self.searches[at].record(Answer {
+                node,
+                incarnation: run,
+                reply,
+            });
         }
     }
 
-    /// Ends the searches in which every agent has replied or is gone.
-    pub fn take_unowned(&mut self, is_gone: impl Fn(NodeId) -> bool) -> Vec<Unowned> {
-        let is_complete = |search: &mut Search| search.unheard.iter().all(|node| is_gone(*node));
-        let unowned = self.searches.extract_if(.., is_complete);
+    /// Ends the searches that are decided: every candidate has replied that it does not own
+    /// the flow or is gone, and the flow is in no other service of its route.
+    ///
+    /// `own` is the own service, `is_certain` returns whether the own upstream is known not to have a flow.
+    pub fn take_unowned(
+        &mut self,
+        own: ServiceId,
+        candidates: &[Candidate],
+        is_certain: impl Fn(&Flow) -> bool,
+    ) -> Vec<Unowned> {
+        let is_decided = |search: &mut Search| {
+            search.open_elsewhere(own) == 0
+                && search.is_excluded_by_all(candidates)
+                && is_certain(&search.flow)
+        };
+        let unowned = self.searches.extract_if(.., is_decided);
         unowned
             .map(|search| Unowned {
                 flow: search.flow,
                 ack: search.ack,
-                gone: search.unheard.first().copied(),
+                gone: search.first_gone(candidates),
             })
             .collect()
     }
 
+    /// Returns whether every candidate of the own service has replied that it does not own a
+    /// searched flow or is gone.
+    #[must_use]
+    pub fn is_excluded(&self, flow: &Flow, candidates: &[Candidate]) -> bool {
+        let found = self.find_search(flow);
+        found.is_ok_and(|at| self.searches[at].is_excluded_by_all(candidates))
+    }
+
+    /// Returns whether any search is pending.
+    #[must_use]
+    pub const fn is_searching(&self) -> bool {
+        !self.searches.is_empty()
+    }
+
+    /// Returns the searched flows that the own upstream is known not to have, sorted.
+    pub fn searched_absent(&self) -> impl Iterator<Item = Flow> {
+        let flows = self.searches.iter().map(|search| search.flow);
+        flows.filter(|flow| self.is_absent(flow))
+    }
+
     /// Returns whether the own upstream is known not to have a flow.
     #[must_use]
     pub fn is_absent(&self, flow: &Flow) -> bool {
@@ -204,25 +368,117 @@
         }
     }
 
-    fn find_absence(&self, flow: &Flow) -> Result<usize, usize> {
-        self.absences
-            .binary_search_by_key(flow, |absence| absence.flow)
-    }
-
     /// Removes expired owners, searches and absent flows.
     pub fn expire(&mut self, now: Millis) {
         self.absences
             .retain(|entry| now.since(entry.since) < IDLE_TIMEOUT);
-        self.redirects
-            .retain(|entry| now.since(entry.since) < IDLE_TIMEOUT);
+        self.redirects.retain(|entry| {
+            let timeout = if entry.claim.confirmed {
+                IDLE_TIMEOUT
+            } else {
+                CLAIM_TIMEOUT
+            };
+            now.since(entry.since) < timeout
+        });
         self.searches
             .retain(|entry| now.since(entry.last) < ENDED_TIMEOUT);
     }
+
+    fn find_redirect(&self, flow: &Flow) -> Result<usize, usize> {
+        self.redirects.binary_search_by_key(flow, |r| r.flow)
+    }
+
+    fn find_search(&self, flow: &Flow) -> Result<usize, usize> {
+        self.searches.binary_search_by_key(flow, |s| s.flow)
+    }
+
+    fn find_absence(&self, flow: &Flow) -> Result<usize, usize> {
+        self.absences
+            .binary_search_by_key(flow, |absence| absence.flow)
+    }
+}
+
+impl Search {
+    /// Adds the services that another packet names. Whether a balancer knows all services is
+    /// judged by the last packet.
+    fn widen(&mut self, scope: &Scope) {
+        add_missing(&mut self.scope.services, &scope.services);
+        add_missing(&mut self.scope.excluded, &scope.excluded);
+        self.scope.partial = scope.partial;
+    }
+
+    /// Returns the number of other services in which the flow may be.
+    fn open_elsewhere(&self, own: ServiceId) -> usize {
+        let services = self.scope.services.iter();
+        let open =
+            services.filter(|service| **service != own && !self.scope.excluded.contains(*service));
+        open.count() + usize::from(self.scope.partial)
+    }
+
+    /// Returns the maximum number of upstreams to try: fewer if the flow may be in other
+    /// services, where agents count by themselves.
+    fn max_trials(&self, own: ServiceId) -> usize {
+        MAX_TRIALS.saturating_sub(self.open_elsewhere(own))
+    }
+
+    fn record(&mut self, answer: Answer) {
+        let found = self.answers.binary_search_by_key(&answer.node, |a| a.node);
+        match found {
+            Ok(at) => self.answers[at] = answer,
+            Err(at) => self.answers.insert(at, answer),
+        }
+    }
+
+    /// Returns the reply of an agent's current run.
+    fn reply(&self, candidate: &Candidate) -> Option<Reply> {
+        let found = self
+            .answers
+            .binary_search_by_key(&candidate.node, |answer| answer.node);
+        let answer = self.answers[found.ok()?];
+        (answer.incarnation >= candidate.incarnation).then_some(answer.reply)
+    }
+
+    /// Returns whether an agent does not own the flow. One that does not know its earlier
+    /// flows has seen those that were opened after its start.
+    fn excludes(&self, candidate: &Candidate) -> bool {
+        match self.reply(candidate) {
+            Some(Reply::NotOwned | Reply::Returned) => true,
+            Some(Reply::Unknown { .. }) => self
+                .opened
+                .is_some_and(|opened| opened > candidate.started + START_MARGIN),
+            None => false,
+        }
+    }
+
+    fn is_excluded_by_all(&self, candidates: &[Candidate]) -> bool {
+        let mut candidates = candidates.iter();
+        candidates.all(|candidate| candidate.gone || self.excludes(candidate))
+    }
+
+    /// Returns whether an agent may hand a packet to its upstream.
+    fn may_try(&self, candidate: &Candidate) -> bool {
+        self.reply(candidate) == Some(Reply::Unknown { trial: true })
+    }
+
+    /// Returns the number of upstreams that were tried, by request of any agent.
+    fn trials(&self) -> usize {
+        let answers = self.answers.iter();
+        let returned = answers
+            .filter(|answer| answer.reply == Reply::Returned && !self.tried.contains(&answer.node));
+        self.tried.len() + returned.count()
+    }
+
+    fn first_gone(&self, candidates: &[Candidate]) -> Option<NodeId> {
+        let mut candidates = candidates.iter();
+        let gone = candidates.find(|candidate| candidate.gone && self.reply(candidate).is_none());
+        gone.map(|candidate| candidate.node)
+    }
 }
 
-/// Hashes a set of agents and their runs, whatever their order.
-fn hash_agents(agents: &[(NodeId, Incarnation)]) -> u64 {
-    agents.iter().fold(0, |hash, (node, incarnation)| {
-        hash ^ xxh3::xxh3_64_with_seed(&node.0.to_le_bytes(), incarnation.0)
-    })
+fn add_missing(services: &mut Vec<ServiceId>, others: &[ServiceId]) {
+    for other in others {
+        if !services.contains(other) {
+            services.push(*other);
+        }
+    }
 }
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -14,7 +14,7 @@
     clock::Millis,
     config_transfer,
     domain_digest::{self, must_know_each_other},
-    ident, polling,
+    former_services, ident, polling,
     protocol::{Heartbeat, MAX_ENTRIES, Message},
     roster, routing,
 };
@@ -52,6 +52,9 @@
 /// Minimum time between two requests for the entries of one failure domain.
 const ENTRIES_INTERVAL: Millis = Millis(300);
 
+/// Half heartbeat periods after the start of a node within which it learns of all others.
+const SETTLE_HALF_PERIODS: u64 = 5;
+
 /// Recipients of a heartbeat among the nodes that have to know the sender.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Scope {
@@ -84,6 +87,7 @@
     download: config_transfer::Download,
     behind_since: Option<Millis>,
     newest_version: u64,
+    history: former_services::History,
     rng: rngs::SmallRng,
     outbox: Vec<(SocketAddrV4, Message)>,
 }
@@ -109,6 +113,7 @@
             download: config_transfer::Download::default(),
             behind_since: None,
             newest_version: 0,
+            history: former_services::History::default(),
             rng: rngs::SmallRng::seed_from_u64(seed),
             outbox: Vec::new(),
         }
@@ -164,23 +169,77 @@
             return false;
         }
         let config = config.inherit(self.config.as_ref());
-        let encoded = rmp_serde::to_vec(&config).unwrap_or_else(|error| {
-            warn!(error:% = error; "cannot encode configuration; peers do not get it from here");
-            Vec::new()
-        });
-        self.encoded_config = config_transfer::Encoded::new(encoded);
-        if self.encoded_config.is_too_large() {
-            warn!(version = config.version; "configuration is too large for peers; they read it from the platform");
-        }
         info!(version = config.version, routes = config.routes.len(); "configuration activated");
         self.newest_version = self.newest_version.max(config.version);
         self.config = Some(config);
+        self.encode_config();
         self.download = config_transfer::Download::default();
         self.behind_since = None;
         self.send_heartbeats(Scope::Domain);
         true
     }
 
+    /// Returns whether this node knows the services that the routes had before, and has had
+    /// the time to learn of their agents.
+    #[must_use]
+    pub fn knows_services(&self, now: Millis) -> bool {
+        let settle_time = Millis(self.roster.period().0 * SETTLE_HALF_PERIODS / 2);
+        self.history.is_settled(now) && now >= settle_time
+    }
+
+    /// Requests the former services of the routes from another node, if they are not known.
+    fn request_former(&mut self, now: Millis) {
+        if self.config.is_none() {
+            return;
+        }
+        self.history.start(now);
+        if let Some(request) = self.history.request(now)
+            && let Some(source) = self.choose_source(self.config_version())
+        {
+            self.outbox.push((source, Message::WantFormer(request)));
+        }
+    }
+
+    /// Sends a page of the former services of the routes, if this node knows them.
+    fn send_former(&mut self, to: SocketAddrV4, request: former_services::Request, now: Millis) {
+        if let Some(config) = self
+            .config
+            .as_ref()
+            .filter(|_| self.history.is_settled(now))
+        {
+            let page = config.former_page(request.after);
+            self.outbox.push((to, Message::Former(page)));
+        }
+    }
+
+    /// Adds the former services of a page to the configuration, and requests the next page.
+    fn receive_former(&mut self, from: SocketAddrV4, page: former_services::Page, now: Millis) {
+        let next = self.history.receive(&page, now);
+        if let Some(config) = &mut self.config
+            && config.add_former(&page.routes)
+        {
+            self.encode_config();
+        }
+        if let Some(request) = next {
+            self.outbox.push((from, Message::WantFormer(request)));
+        }
+    }
+
+    /// Encodes the active configuration for other nodes.
+    fn encode_config(&mut self) {
+        let Some(config) = &self.config else {
+            return;
+        };
+        let encoded = rmp_serde::to_vec(config).unwrap_or_else(|error| {
+            warn!(error:% = error; "cannot encode configuration; peers do not get it from here");
+            Vec::new()
+        });
+        self.encoded_config = config_transfer::Encoded::new(encoded);
+        if self.encoded_config.is_too_large() {
+            warn!(version = config.version; "configuration is too large for peers; they read it from the platform");
+        }
+    }
+
     /// Processes a received message.
     pub fn receive(&mut self, from: SocketAddrV4, message: Message, now: Millis) {
         match message {
@@ -192,7 +251,14 @@
             Message::WantEntries(services) => self.send_entries(from, &services, now),
             Message::Alive(entries) => self.receive_alive(&entries, now),
             Message::Ping => self.outbox.push((from, self.heartbeat())),
-            Message::Own { .. } | Message::Unowned { .. } => {}
+            Message::WantFormer(request) => self.send_former(from, request, now),
+            Message::Former(page) => self.receive_former(from, page, now),
+            Message::Own { .. }
+            | Message::Unowned { .. }
+            | Message::Confirmed { .. }
+            | Message::Searched { .. }
+            | Message::WantFlows(_)
+            | Message::OwnedFlows(_) => {}
         }
     }
 
@@ -230,6 +296,7 @@
                 self.request_pages(now);
             }
         }
+        self.request_former(now);
     }
 
     /// Returns the recipients to which a heartbeat is due, and records that it is sent.
@@ -292,10 +359,20 @@
                     self.introduce_peers(&heartbeat.entry);
                 }
             }
+            roster::Merge::Superseded => self.report_superseded(&heartbeat.entry),
             roster::Merge::Changed | roster::Merge::Same | roster::Merge::Old => {}
         }
     }
 
+    /// Sends a node whose incarnation is behind the known one its known entry, from which it
+    /// takes a later incarnation.
+    fn report_superseded(&mut self, entry: &roster::Entry) {
+        if let Some(known) = self.roster.find(entry.node) {
+            let message = Message::Roster(vec![known.entry.clone()]);
+            self.outbox.push((entry.control, message));
+        }
+    }
+
     /// Returns the time until a node should be heard or reported again.
     fn expected_period(&self, heartbeat: &Heartbeat) -> Millis {
         if is_far(heartbeat) {
@@ -309,22 +386,34 @@
     /// is new here.
     fn receive_entries(&mut self, entries: &[roster::Entry], now: Millis) {
         for entry in entries {
+            let run = self.roster.me().incarnation;
             let merge = self
                 .roster
                 .merge(entry, roster::HEARTBEAT_PERIOD, false, now);
+            if self.roster.me().incarnation != run {
+                warn!(
+                    incarnation = self.roster.me().incarnation.0;
+                    "wall clock was set back since the last start; took a later incarnation"
+                );
+                self.send_heartbeats(Scope::All);
+            }
             if merge == roster::Merge::New && must_know_each_other(entry, self.roster.me()) {
                 self.outbox.push((entry.control, self.heartbeat_to(entry)));
             }
         }
     }
 
-    /// Sends the entries of known live nodes to a node that is new here.
+    /// Sends the entries of known live nodes to a node that is new here, and of agents that
+    /// have left a running upstream, which still has its flows.
     fn introduce_peers(&mut self, entry: &roster::Entry) {
         let others: Vec<_> = self
             .roster
             .peers()
             .iter()
-            .filter(|peer| peer.direct && !peer.silent && !peer.entry.leaving)
+            .filter(|peer| {
+                let alive = peer.direct && !peer.silent && !peer.entry.leaving;
+                alive || peer.has_left_upstream()
+            })
             .map(|peer| peer.entry.clone())
             .filter(|other| other.node != entry.node)
             .filter(|other| must_know_each_other(entry, other))
@@ -494,23 +583,23 @@
 
     /// Requests missing pages of the newest version from a node that has it.
     fn request_pages(&mut self, now: Millis) {
-        if let Some(source) = self.choose_source() {
+        if let Some(source) = self.choose_source(self.newest_version) {
             let request = self.download.request(source, self.newest_version, now);
             self.outbox.push((source, Message::WantPages(request)));
         }
     }
 
-    /// Chooses a random live node that has the newest version: an agent in the same
+    /// Chooses a random live node that has this version or a later one: an agent in the same
     /// failure domain if there is one, since a balancer's link carries the packets of many
     /// upstreams. Any node is chosen after a request without an answer.
-    fn choose_source(&mut self) -> Option<SocketAddrV4> {
+    fn choose_source(&mut self, version: u64) -> Option<SocketAddrV4> {
         let domain = self.roster.me().domain;
         let rank = |entry: &roster::Entry| (entry.domain != domain, entry.upstream.is_none());
         let mut sources: Vec<_> = self
             .roster
             .peers()
             .iter()
-            .filter(|peer| !peer.silent && peer.direct && peer.config >= self.newest_version)
+            .filter(|peer| !peer.silent && peer.direct && peer.config >= version)
             .map(|peer| &peer.entry)
             .collect();
         if !self.download.is_stalled() {
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Millis,
-    config_transfer, domain_digest,
+    config_transfer, domain_digest, flow_recovery, former_services,
     header::{self, Hop},
     ident,
     packet::Flow,
@@ -64,6 +64,36 @@
     /// The packet is sent to all agents of the service to find the owner of its flow;
     /// only the owner delivers it.
     Search,
+    /// The packet is sent to an agent that does not know all flows of its upstream, to find
+    /// out whether the upstream has the flow.
+    Trial,
+}
+
+/// What an agent has replied to a search.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Reply {
+    /// Its upstream does not have the flow.
+    NotOwned,
+    /// Its upstream has returned a packet of the flow.
+    Returned,
+    /// It does not know all flows of its upstream. If `trial` is set, it will not learn them
+    /// from others any more, and may hand a packet to its upstream.
+    Unknown {
+        /// Whether a packet may be handed to the upstream.
+        trial: bool,
+    },
+}
+
+impl Reply {
+    /// Returns the name of the reply in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotOwned => "disown",
+            Self::Returned => "reply_returned",
+            Self::Unknown { .. } => "reply_unknown",
+        }
+    }
 }
 
 /// Agent with the shortest expected wait for a new flow among those passed so far.
@@ -96,6 +126,29 @@
     pub best: Option<BestHop>,
     /// Agent to which the owner of the flow announces itself.
     pub requester: Option<Hop>,
+    /// Services in which the owner may be. Left out if it can only be in the hops' service,
+    /// so that nodes of the version before read such headers.
+    #[serde(default, skip_serializing_if = "Scope::is_single")]
+    pub scope: Scope,
+}
+
+/// Services in which the owner of an open flow may be.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Scope {
+    /// Services of the route, now or before, if there are several.
+    pub services: Vec<ident::ServiceId>,
+    /// Those of them whose agents have all replied that they do not own the flow.
+    pub excluded: Vec<ident::ServiceId>,
+    /// Whether the balancer may not know all services of the route yet.
+    pub partial: bool,
+}
+
+impl Scope {
+    /// Returns whether the flow can only be in one service.
+    #[must_use]
+    pub const fn is_single(&self) -> bool {
+        self.services.is_empty() && !self.partial
+    }
 }
 
 /// Heartbeat of a node. The fields are encoded by position.
@@ -145,6 +198,32 @@
     Alive(Vec<roster::Entry>),
     /// Request for a heartbeat.
     Ping,
+    /// Confirmation that these flows were opened at the upstream of an agent.
+    Confirmed {
+        /// Agent that owns the flows.
+        owner: ServiceHop,
+        /// Flows that it owns, at most [`MAX_FLOWS`].
+        flows: Vec<Flow>,
+    },
+    /// Reply to a search, other than by the owner.
+    Searched {
+        /// Agent that replies.
+        node: ident::NodeId,
+        /// Its run.
+        incarnation: ident::Incarnation,
+        /// The searched flow.
+        flow: Flow,
+        /// What the agent knows of the flow.
+        reply: Reply,
+    },
+    /// Request of a restarted agent for the flows that it owns.
+    WantFlows(flow_recovery::Request),
+    /// Flows that the receiver owns.
+    OwnedFlows(flow_recovery::Page),
+    /// Request for the former services of routes.
+    WantFormer(former_services::Request),
+    /// Former services of routes.
+    Former(former_services::Page),
 }
 
 /// Decodes the body of a `Packet` datagram into header and packet.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -37,10 +37,6 @@
 /// counts as silent.
 const PROBE_HALF_PERIODS: u64 = 3;
 
-/// Time within which an agent that has announced its shutdown is expected back if its
-/// upstream keeps running.
-const RETURN_TIMEOUT: Millis = Millis(8_000);
-
 /// Time since its last heartbeat after which a node is removed.
 pub const FORGET_AFTER: Millis = Millis(60_000);
 
@@ -146,6 +142,19 @@
     pub config: u64,
     /// Whether a heartbeat of this run of the node showed that it understands digests.
     pub digests: bool,
+    /// Time at which this run of the node was first heard of.
+    pub started: Millis,
+    /// The run before this one, if this node knew it.
+    pub previous: Option<PreviousRun>,
+}
+
+/// How a former run of a node ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub enum PreviousRun {
+    /// It announced its shutdown.
+    Stopped,
+    /// It ended without an announcement.
+    Crashed,
 }
 
 impl Peer {
@@ -161,6 +170,28 @@
         self.is_overdue(MISSED_HALF_PERIODS, now)
     }
 
+    /// Returns whether the agent has announced its shutdown and left a running upstream.
+    #[must_use]
+    pub fn has_left_upstream(&self) -> bool {
+        let upstream = self.entry.upstream;
+        self.entry.leaving && upstream.is_some_and(|upstream| upstream.state.is_some())
+    }
+
+    /// Returns whether an earlier run of the node was known.
+    #[must_use]
+    pub const fn has_restarted(&self) -> bool {
+        self.previous.is_some()
+    }
+
+    /// Returns how the current run ended, if a later one has started.
+    const fn ending(&self) -> PreviousRun {
+        if self.entry.leaving {
+            PreviousRun::Stopped
+        } else {
+            PreviousRun::Crashed
+        }
+    }
+
     fn is_overdue(&self, half_periods: u64, now: Millis) -> bool {
         now.since(self.heard).0 > self.period.0 * half_periods / 2
     }
@@ -176,8 +207,11 @@
     Changed,
     /// An unchanged entry of a known node.
     Same,
-    /// An outdated entry; ignored.
+    /// An outdated entry of the known incarnation, or an entry of this node; ignored.
     Old,
+    /// An entry of an incarnation before the known one; ignored. If its sender is alive, its
+    /// wall clock was set back between two starts.
+    Superseded,
 }
 
 /// All known nodes. The rows are sorted by node and do not include this node.
@@ -268,6 +302,8 @@
             silent: false,
             config: 0,
             digests: false,
+            started: now,
+            previous: None,
         };
         match found {
             Err(at) => self.insert(at, update),
@@ -404,6 +440,13 @@
         !self.rows.iter().filter(is_contact).any(is_live)
     }
 
+    /// Returns whether any balancer has sent a heartbeat.
+    #[must_use]
+    pub fn hears_balancer(&self) -> bool {
+        let mut rows = self.rows.iter();
+        rows.any(|peer| peer.direct && peer.entry.upstream.is_none())
+    }
+
     /// Returns the balancers that are alive and not shutting down, without this node.
     pub fn live_balancers(&self) -> impl Iterator<Item = &Peer> {
         let rows = self.rows.iter();
@@ -423,9 +466,9 @@
     /// lost: it became silent while most other agents of the service did not, or it
     /// announced that no upstream is running and then shuts down or misses a heartbeat.
     ///
-    /// An agent that announced its own shutdown while its upstream keeps running gets
-    /// `RETURN_TIMEOUT` to come back. A node that is not in the table is not considered
-    /// gone, a balancer always is.
+    /// An agent that announced its own shutdown while its upstream keeps running is not gone,
+    /// however long it stays away: its upstream still has its flows. A node that is not in
+    /// the table is not considered gone, a balancer always is.
     #[must_use]
     pub fn is_gone(&self, node: ident::NodeId, now: Millis) -> bool {
         let Some(peer) = self.find(node) else {
@@ -440,7 +483,7 @@
         match (peer.entry.leaving, deregistered) {
             (true, true) => true,
             (false, true) => silent || missed,
-            (true, false) => silent && now.since(peer.heard) > RETURN_TIMEOUT,
+            (true, false) => false,
             (false, false) => silent,
         }
     }
@@ -463,6 +506,27 @@
             .filter(move |entry| entry.service() == Some(service))
     }
 
+    /// Returns the number of other agents of a service, without `except`, whose last run
+    /// ended less than `span` ago without an announcement.
+    #[must_use]
+    pub fn recent_crashes(
+        &self,
+        service: ident::ServiceId,
+        except: ident::NodeId,
+        span: Millis,
+        now: Millis,
+    ) -> usize {
+        let has_crashed = |peer: &&Peer| {
+            let restarted = peer.previous == Some(PreviousRun::Crashed);
+            let recently = restarted && now.since(peer.started) < span;
+            recently || (peer.silent && !peer.entry.leaving)
+        };
+        let rows = self.rows.iter();
+        rows.filter(|peer| peer.entry.service() == Some(service) && peer.entry.node != except)
+            .filter(has_crashed)
+            .count()
+    }
+
     /// Returns the longest heartbeat period that an agent of a service has announced, at
     /// least [`HEARTBEAT_PERIOD`].
     #[must_use]
@@ -511,6 +575,9 @@
     /// Replaces the entry of a known node unless the update is outdated.
     fn refresh(&mut self, at: usize, update: Peer) -> Merge {
         let peer = &mut self.rows[at];
+        if update.entry.incarnation < peer.entry.incarnation {
+            return Merge::Superseded;
+        }
         let newer = update.entry.is_newer(&peer.entry);
         if !newer && update.entry != peer.entry {
             return Merge::Old;
@@ -523,10 +590,17 @@
         let direct = peer.direct || update.direct;
         let config = if new_run { 0 } else { peer.config };
         let digests = peer.digests && !new_run;
+        let (started, previous) = if new_run {
+            (update.heard, Some(peer.ending()))
+        } else {
+            (peer.started, peer.previous)
+        };
         *peer = Peer {
             direct,
             config,
             digests,
+            started,
+            previous,
             ..update
         };
         self.revision += u64::from(newer || returned);
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -8,6 +8,7 @@
 use crate::{
     chains,
     clock::Millis,
+    former_services,
     ident::{DomainId, ServiceId},
     pacer, protocol, record, roster,
     segment::Segment,
@@ -78,6 +79,45 @@
         self
     }
 
+    /// Returns the former services of the routes after an address, one page of them.
+    #[must_use]
+    pub fn former_page(&self, after: Option<SocketAddrV4>) -> former_services::Page {
+        let start = self.routes.partition_point(|r| Some(r.address) <= after);
+        let rest = self.routes[start..].iter();
+        let with_former = rest.filter(|route| !route.former.is_empty());
+        let mut routes: Vec<_> = with_former
+            .take(former_services::MAX_ROUTES + 1)
+            .map(|route| former_services::FormerRoute {
+                address: route.address,
+                services: route.former.clone(),
+            })
+            .collect();
+        let more = routes.len() > former_services::MAX_ROUTES;
+        routes.truncate(former_services::MAX_ROUTES);
+        former_services::Page {
+            after,
+            routes,
+            more,
+        }
+    }
+
+    /// Adds the former services that another node knows. Returns whether any was new.
+    pub fn add_former(&mut self, routes: &[former_services::FormerRoute]) -> bool {
+        let mut changed = false;
+        for former in routes {
+            let found = self
+                .routes
+                .binary_search_by_key(&former.address, |route| route.address);
+            if let Ok(at) = found {
+                let route = &mut self.routes[at];
+                let before = route.former.len();
+                route.add_services(former.services.iter().copied());
+                changed |= route.former.len() != before;
+            }
+        }
+        changed
+    }
+
     /// Returns the route of an address.
     #[must_use]
     pub fn find(&self, address: SocketAddrV4) -> Option<&Route> {
@@ -93,7 +133,12 @@
     /// any more.
     fn add_former(&mut self, previous: &Self) {
         let services = previous.targets.iter().map(|target| target.service);
-        for service in services.chain(previous.former.iter().copied()) {
+        self.add_services(services.chain(previous.former.iter().copied()));
+    }
+
+    /// Adds former services that are not targets.
+    fn add_services(&mut self, services: impl Iterator<Item = ServiceId>) {
+        for service in services {
             let current = self.targets.iter().any(|target| target.service == service);
             if !current && !self.former.contains(&service) {
                 self.former.push(service);
@@ -209,11 +254,13 @@
     let hash = segment.inbound().hash(seed);
     let picked = route.pick_service(hash).ok_or(Refusal::NoAgents)?;
     let origin = roster.me().domain;
+    let mut scope = protocol::Scope::default();
     let (hops, age) = if segment.syn {
         let copy = usize::try_from(segment.ack).unwrap_or(usize::MAX);
         let hops = syn_hops(tables.chains(picked, roster), origin, hash, copy);
         (hops, COPY_AGES[copy.min(COPY_AGES.len() - 1)])
     } else {
+        scope.services = other_services(route, picked, tables, roster);
         let hops = flow_hops(route, picked, tables, roster, origin, hash);
         (hops, Millis(0))
     };
@@ -228,6 +275,7 @@
         max_wait: route.max_wait() - age,
         best: None,
         requester: None,
+        scope,
     })
 }
 
@@ -269,6 +317,23 @@
     hops
 }
 
+/// Returns the services with agents in which an open flow may be, if there are several.
+fn other_services(
+    route: &Route,
+    picked: ServiceId,
+    tables: &mut Tables,
+    roster: &roster::Roster,
+) -> Vec<ServiceId> {
+    let candidates = route.candidate_services(picked);
+    let mut services: Vec<_> = candidates
+        .filter(|service| !tables.chains(*service, roster).is_empty())
+        .collect();
+    if services.len() < 2 {
+        services.clear();
+    }
+    services
+}
+
 /// Returns the agents that may own an open flow, or know its owner, in each candidate
 /// service.
 fn flow_hops(
--- a/src/status.rs
+++ b/src/status.rs
@@ -68,6 +68,8 @@
     left: Option<Millis>,
     /// Last report of a run with an earlier start time.
     earlier: Option<EarlierRun>,
+    /// Number of reports of the current run that were applied.
+    applied: u64,
 }
 
 impl Status {
@@ -83,6 +85,7 @@
             heard: Millis(0),
             left: None,
             earlier: None,
+            applied: 0,
         }
     }
 
@@ -101,6 +104,10 @@
             _ => return Effect::Stale,
         };
         self.earlier = None;
+        self.applied = match effect {
+            Effect::Updated => self.applied + 1,
+            _ => 1,
+        };
         self.report = Some(report);
         self.unknown = false;
         self.heard = now;
@@ -164,6 +171,13 @@
         self.report = None;
     }
 
+    /// Returns whether the current run has reported repeatedly here. A single report may be a
+    /// late one of a run that has ended.
+    #[must_use]
+    pub const fn is_followed(&self) -> bool {
+        self.report.is_some() && self.applied > 1
+    }
+
     /// Returns the last report of the current run.
     #[must_use]
     pub const fn report(&self) -> Option<&Report> {
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -2,20 +2,21 @@
 //! forward, answer or drop it.
 //!
 //! In a pass-through service the upstream terminates its TCP flows itself, so the agent
-//! tracks the flows it has seen there. A packet of a flow that is not tracked is never
-//! delivered to the upstream, except while the agent may be missing flows because it
-//! started after the upstream. Such an agent delivers it only if no agent further along the
-//! chain may know the owner, and not again after the upstream has returned a packet of the
-//! flow.
+//! tracks the flows it has seen there. A packet of a flow that is not tracked is not
+//! delivered to the upstream, except if another agent states that this one owns the flow, or
+//! as one of a few trials while the agent is missing flows because it started after the
+//! upstream.
 //!
 //! The agent whose upstream terminates a flow is the owner of the flow. Balancers do not
 //! know the owner: they send a packet to the first agents of the flow's candidate chain,
 //! its home agents, to which the owner has announced itself. If none of them knows the
-//! owner, the last one sends the packet to all other agents of the service.
+//! owner, the last one sends the packet to all other agents of the service (see
+//! `ownership`).
 
 mod action;
 mod announcements;
 mod opening;
+mod ownership;
 
 pub use action::{Action, DropReason, ResetCause};
 
@@ -24,12 +25,11 @@
     clock::Millis,
     conntrack,
     failure_detector::{self, Evidence},
+    flow_recovery::Tracking,
     header::Hop,
-    header_ring,
-    ident::NodeId,
-    load, owner_cache,
+    header_ring, load, owner_cache,
     packet::Flow,
-    protocol::{Header, Mode, ServiceHop},
+    protocol::{Header, Mode, Reply, ServiceHop},
     roster,
     segment::Segment,
 };
@@ -38,20 +38,13 @@
 /// which the upstream is probed.
 const MIN_HANG_TIMEOUT: Millis = Millis(500);
 
-/// Time after the start of an agent, in quarters of the longest heartbeat period of the
-/// service's agents, before which it does not reset flows without an owner. It may not
-/// know all other agents yet: those of another failure domain take a heartbeat there and
-/// the next digest.
-const SETTLE_QUARTERS: u64 = 10;
-
 /// Inputs of a decision besides the tracked flows.
 #[derive(Debug)]
 pub struct Context<'a> {
     /// Whether the upstream accepts new flows.
     pub accepts: bool,
-    /// Whether the agent tracks all flows of the upstream. False while flows may exist
-    /// that were opened before the agent started.
-    pub complete: bool,
+    /// What the agent knows of the flows of the upstream.
+    pub tracking: Tracking,
     /// Candidate chains of the service.
     pub chains: &'a mut chains::Chains,
     /// Known nodes.
@@ -72,7 +65,7 @@
     headers: header_ring::HeaderRing,
     pending_syns: Vec<opening::PendingSyn>,
     failure: failure_detector::FailureDetector,
-    notices: Vec<(Hop, Flow)>,
+    notices: Vec<announcements::Notice>,
     /// Announcements of flows that were not opened here, to take back.
     withdrawals: Vec<(Hop, Flow)>,
     /// Roster revision for which the homes were determined.
@@ -163,7 +156,7 @@
         if let Ok(at) = self.find(&flow)
             && self.entries[at].confirm(segment)
         {
-            return self.deliver_owned(at, &header, segment, context.now);
+            return self.deliver_owned(context, at, &header, segment);
         }
         if segment.syn {
             return self.open_flow(context, header, segment, bytes);
@@ -191,7 +184,7 @@
         }
         match found {
             Ok(at) => self.record_answer(at, segment, context.now),
-            Err(at) if !context.complete && shows_ownership(segment) => {
+            Err(at) if context.tracking != Tracking::Complete && shows_ownership(segment) => {
                 self.learn_flow(context, at, segment);
             }
             Err(_) => {}
@@ -199,27 +192,6 @@
         Action::Answer
     }
 
-    /// Records that another agent owns these flows.
-    pub fn learn_owners(&mut self, owner: ServiceHop, flows: &[Flow], now: Millis) {
-        if owner.hop.node == self.own_address.hop.node {
-            return;
-        }
-        for flow in flows {
-            let found = self.find(flow);
-            if !found.is_ok_and(|at| self.entries[at].is_confirmed()) {
-                self.owners.learn(*flow, owner, now);
-            }
-        }
-    }
-
-    /// Records that an agent does not own these flows, in reply to a search or because it
-    /// withdraws an announcement.
-    pub fn record_not_owned(&mut self, node: NodeId, flows: &[Flow]) {
-        for flow in flows {
-            self.owners.record_not_owned(node, flow);
-        }
-    }
-
     /// Runs the periodic work: expires entries, announces flows to new home agents,
     /// resets flows without an owner and handles unanswered SYNs. Adds the resulting
     /// actions to `actions`.
@@ -227,6 +199,7 @@
         let now = context.now;
         self.expire(context);
         self.update_homes(context);
+        self.confirm_flows(context);
         self.reset_unowned(context, actions);
         self.pass_on_unanswered(context, actions);
         if self.is_hanging(now) {
@@ -259,19 +232,22 @@
     /// searches for its owner.
     fn deliver_owned(
         &mut self,
+        context: &mut Context<'_>,
         at: usize,
         header: &Header,
         segment: &Segment,
-        now: Millis,
     ) -> Action {
         if let Some(requester) = header
             .requester
             .filter(|hop| hop.node != self.own_address.hop.node)
         {
-            self.notices.push((requester, self.entries[at].flow));
+            self.notify(requester, &self.entries[at].clone());
+        }
+        if self.entries[at].origin != header.origin {
+            self.entries[at].origin = header.origin;
+            self.notify_homes(context, at);
         }
-        self.entries[at].origin = header.origin;
-        self.entries[at].record_inbound(segment, &mut self.load, now);
+        self.entries[at].record_inbound(segment, &mut self.load, context.now);
         Action::Deliver(0)
     }
 
@@ -284,108 +260,6 @@
         self.service_times.extend(service_time);
     }
 
-    /// Handles a packet of a flow that is not tracked: forwards it to the known owner,
-    /// delivers it if flows may be missing from the table, or searches for the owner.
-    fn route_untracked(
-        &mut self,
-        context: &mut Context<'_>,
-        mut header: Header,
-        segment: &Segment,
-    ) -> Action {
-        let flow = segment.inbound();
-        if header.mode != Mode::Search
-            && let Some(owner) = self.owners.owner(&flow)
-        {
-            if context.roster.is_gone(owner.hop.node, context.now) {
-                // Another agent that took a copy of the SYN may have announced itself first.
-                self.owners.forget(&flow);
-            } else if header.mode != Mode::Owner {
-                header.requester.get_or_insert(self.own_address.hop);
-                return Action::Send(redirect(header, owner, Mode::Owner));
-            }
-        }
-        if self.may_own(context, &flow) && !segment.reset && self.is_last_of_service(&header) {
-            let token = self.headers.push(flow, header);
-            return Action::Deliver(token);
-        }
-        if header.mode == Mode::Search {
-            return header
-                .requester
-                .map_or(Action::Drop(DropReason::NotOwned), |requester| {
-                    Action::Disown(requester, flow)
-                });
-        }
-        if segment.reset {
-            return Action::Drop(DropReason::Ended);
-        }
-        header.requester.get_or_insert(self.own_address.hop);
-        if header.hops.len() > 1 {
-            return to_next_hop(header);
-        }
-        self.search(context, header, segment)
-    }
-
-    /// Returns whether the upstream may have a flow that is not tracked.
-    fn may_own(&self, context: &Context<'_>, flow: &Flow) -> bool {
-        !context.complete && !self.owners.is_absent(flow)
-    }
-
-    /// Returns whether no agent of this service follows in the chain.
-    fn is_last_of_service(&self, header: &Header) -> bool {
-        let service = self.own_address.service;
-        header.hops[1..].iter().all(|hop| hop.service != service)
-    }
-
-    /// Searches for the owner of a flow by sending the packet to the other agents of the
-    /// service, which reply to this agent. Agents that have replied are not asked again.
-    fn search(&mut self, context: &Context<'_>, header: Header, segment: &Segment) -> Action {
-        let own = self.own_address.hop.node;
-        let agents = context.roster.agents(self.own_address.service);
-        let others = agents
-            .filter(|entry| entry.node != own)
-            .map(|entry| (entry.node, entry.incarnation));
-        let flow = segment.inbound();
-        let asked = self
-            .owners
-            .start_search(flow, segment.ack, others, context.now);
-        match asked {
-            None | Some([]) => Action::Drop(DropReason::Searched),
-            Some(nodes) => {
-                let header = Header {
-                    mode: Mode::Search,
-                    requester: Some(self.own_address.hop),
-                    ..header
-                };
-                Action::Search(header, nodes.to_vec())
-            }
-        }
-    }
-
-    /// Resets flows that no agent of the service owns.
-    ///
-    /// Does nothing while this agent may not know all other agents: shortly after its
-    /// start, while it has had no heartbeat from a balancer, or while it is isolated.
-    fn reset_unowned(&mut self, context: &Context<'_>, actions: &mut Vec<Action>) {
-        let hears_balancer = || {
-            let mut peers = context.roster.peers().iter();
-            peers.any(|peer| peer.direct && peer.entry.upstream.is_none())
-        };
-        let isolated = context.roster.is_isolated(context.now);
-        let period = context.roster.max_period(self.own_address.service);
-        let settle_time = Millis(period.0 * SETTLE_QUARTERS / 4);
-        if context.now < settle_time || !hears_balancer() || isolated {
-            return;
-        }
-        let lost = self
-            .owners
-            .take_unowned(|node| context.roster.is_gone(node, context.now));
-        let resets = lost.into_iter();
-        actions.extend(resets.map(|unowned| {
-            let cause = ResetCause::Unowned(unowned.gone);
-            Action::Reset(unowned.flow, unowned.ack, cause)
-        }));
-    }
-
     /// Starts tracking a flow that was opened before this agent started, and queues
     /// announcements to its homes and to the agent that forwarded its last packet.
     fn learn_flow(&mut self, context: &mut Context<'_>, at: usize, segment: &Segment) {
@@ -393,12 +267,12 @@
         let pending = self.headers.take_last(&flow);
         let own_domain = context.roster.me().domain;
         let origin = pending.as_ref().map_or(own_domain, |header| header.origin);
-        let requester = pending.and_then(|header| header.requester);
-        self.notices
-            .extend(requester.map(|requester| (requester, flow)));
-        let mut entry = conntrack::Entry::from_upstream(segment, origin, context.now);
-        entry.homes = self.notify_homes(context, &flow, origin, entry.homes);
+        let entry = conntrack::Entry::from_upstream(segment, origin, context.now);
+        if let Some(requester) = pending.and_then(|header| header.requester) {
+            self.notify(requester, &entry);
+        }
         self.entries.insert(at, entry);
+        self.notify_homes(context, at);
         self.owners.record_present(&flow);
     }
 
@@ -428,10 +302,14 @@
         if let Ok(at) = self.find(&flow) {
             let entry = self.entries[at];
             self.remove(&flow);
+            if entry.is_recovered() {
+                let withdrawals = announcements::announced_homes(context, &entry);
+                self.withdrawals.extend(withdrawals);
+            }
             if !entry.is_open() || segment.reset {
                 return Action::Drop(DropReason::Ended);
             }
-            if entry.is_confirmed() {
+            if entry.is_confirmed() && !entry.is_recovered() {
                 return Action::Reset(flow, segment.ack, ResetCause::Returned);
             }
         }
@@ -439,7 +317,6 @@
         let Some(header) = pending else {
             return Action::Drop(DropReason::NotOwned);
         };
-        context.complete = true;
         self.route_untracked(context, header, segment)
     }
 
@@ -450,10 +327,10 @@
         self.abandon(context, flow);
         self.owners.record_absent(*flow, context.now);
         let pending = self.headers.take_last(flow);
-        let searching = pending.filter(|header| header.mode == Mode::Search);
-        let requester = searching.and_then(|header| header.requester);
+        let tried = pending.filter(|header| header.mode == Mode::Trial);
+        let requester = tried.and_then(|header| header.requester);
         requester.map_or(Action::Drop(DropReason::NotTracked), |requester| {
-            Action::Disown(requester, *flow)
+            Action::ReplySearch(requester, *flow, Reply::Returned)
         })
     }
 
@@ -473,14 +350,13 @@
     }
 
     /// Removes expired entries, and withdraws the announcements of flows that were not
-    /// opened here.
+    /// opened here or whose owner was confirmed.
     fn expire(&mut self, context: &Context<'_>) {
         let load = &mut self.load;
         let is_expired = |entry: &mut conntrack::Entry| entry.expire(load, context.now);
         let expired = self.entries.extract_if(.., is_expired);
-        let unopened = expired.filter(|entry| !entry.is_confirmed());
-        let withdrawals =
-            unopened.flat_map(|entry| announcements::announced_homes(context, &entry));
+        let known = expired.filter(|entry| !entry.is_confirmed() || entry.announced);
+        let withdrawals = known.flat_map(|entry| announcements::announced_homes(context, &entry));
         self.withdrawals.extend(withdrawals);
         self.owners.expire(context.now);
     }
--- a/src/steering/action.rs
+++ b/src/steering/action.rs
@@ -5,8 +5,9 @@
 use crate::{
     header::Hop,
     ident::NodeId,
+    owner_cache::Claim,
     packet::Flow,
-    protocol::{Header, Mode},
+    protocol::{Header, Mode, Reply},
 };
 
 /// Reason for dropping a packet.
@@ -19,7 +20,7 @@
     /// The owner is unknown, and no search was started: the last one is too recent, all
     /// agents have replied to it, or too many are pending.
     Searched,
-    /// Another agent searched for the owner, and this agent does not own the flow.
+    /// The upstream returned a packet whose sender is not known any more.
     NotOwned,
     /// The upstream resets a flow that is not tracked, in reply to a packet that it got in
     /// case it has the flow. The flow may belong to another upstream.
@@ -52,11 +53,13 @@
     Send(Header),
     /// Forward the buffered bytes of an earlier packet to the first hop of the header.
     Resend(Header, Vec<u8>),
-    /// Send the packet to each of these agents, to find the owner of its flow.
+    /// Send the packet to each of these agents, to find the owner of its flow, and to the
+    /// header's second hop if there is one.
     Search(Header, Vec<NodeId>),
-    /// Reply to the agent that searches for the owner of a flow that this agent does not
-    /// own it.
-    Disown(Hop, Flow),
+    /// Reply to the agent that searches for the owner of a flow what this agent knows.
+    ReplySearch(Hop, Flow, Reply),
+    /// Reply to the agent that searches for the owner of a flow who the owner is.
+    ReplyOwner(Hop, Flow, Claim),
     /// Send the packet to its caller.
     Answer,
     /// Send the caller a reset of the flow with this sequence number, which is 0 if a new
@@ -105,11 +108,13 @@
             Self::Deliver(_) => "accept",
             Self::Send(header) => match header.mode {
                 Mode::Owner => "forward_to_owner",
+                Mode::Trial => "try",
                 Mode::Chain | Mode::Search => "pass_on",
             },
             Self::Resend(..) => "pass_on_unanswered",
             Self::Search(..) => "search",
-            Self::Disown(..) => "disown",
+            Self::ReplySearch(_, _, reply) => reply.name(),
+            Self::ReplyOwner(..) => "reply_owner",
             Self::Answer => "answer",
             Self::Reset(_, _, cause) => cause.name(),
             Self::Probe => "probe",
--- a/src/steering/opening.rs
+++ b/src/steering/opening.rs
@@ -68,12 +68,18 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
-        let mut entry = conntrack::Entry::new(flow, header.origin, context.now);
-        entry.homes = self.notify_homes(context, &flow, header.origin, entry.homes);
-        match self.find(&flow) {
-            Ok(at) => self.entries[at] = entry,
-            Err(at) => self.entries.insert(at, entry),
-        }
+        let entry = conntrack::Entry::new(flow, header.origin, context.now);
+        let at = match self.find(&flow) {
+            Ok(at) => {
+                self.entries[at] = entry;
+                at
+            }
+            Err(at) => {
+                self.entries.insert(at, entry);
+                at
+            }
+        };
+        self.notify_homes(context, at);
         self.owners.forget(&flow);
         self.owners.record_present(&flow);
         let token = self.headers.push(flow, header);
--- /dev/null
+++ b/src/steering/ownership.rs
@@ -0,0 +1,312 @@
+//! Packets of flows that are not tracked here: claims of other agents, searches for the owner
+//! and trials.
+//!
+//! A search ends by the owner, or by the knowledge that no agent of the service owns the flow.
+//! An agent that does not know all flows of its upstream says so, which decides nothing.
+
+use super::{Action, Context, DropReason, Flows, ResetCause, redirect, to_next_hop};
+use crate::{
+    clock::Millis,
+    conntrack,
+    flow_recovery::{OwnedFlow, Tracking},
+    ident::{Incarnation, NodeId},
+    owner_cache::{Candidate, Claim, Recipients},
+    packet::Flow,
+    protocol::{Header, Mode, Reply, ServiceHop},
+    roster,
+    segment::Segment,
+};
+
+/// Time after the start of an agent, in quarters of the longest heartbeat period of the
+/// service's agents, before which it does not reset flows without an owner. It may not
+/// know all other agents yet: those of another failure domain take a heartbeat there and
+/// the next digest.
+const SETTLE_QUARTERS: u64 = 10;
+
+impl Flows {
+    /// Records the claim of another agent to these flows.
+    pub fn learn_owners(
+        &mut self,
+        owner: ServiceHop,
+        flows: &[Flow],
+        confirmed: bool,
+        now: Millis,
+    ) {
+        if owner.hop.node == self.own_address.hop.node {
+            return;
+        }
+        let claim = Claim { owner, confirmed };
+        for flow in flows {
+            let found = self.find(flow);
+            if !found.is_ok_and(|at| self.entries[at].is_confirmed()) {
+                self.owners.learn(*flow, claim, now);
+            }
+        }
+    }
+
+    /// Starts tracking flows that another agent knows to be owned here, unless the upstream is
+    /// known not to have them.
+    pub fn adopt(&mut self, context: &Context<'_>, flows: &[OwnedFlow]) {
+        let origin = context.roster.me().domain;
+        let flows = flows.iter();
+        for owned in flows.filter(|owned| !self.owners.is_absent(&owned.flow)) {
+            if let Err(at) = self.find(&owned.flow) {
+                let entry = conntrack::Entry::from_peer(*owned, origin, context.now);
+                self.entries.insert(at, entry);
+            }
+        }
+    }
+
+    /// Returns the flows that an agent owns, sorted, after the flow `after`.
+    pub fn known_flows(
+        &self,
+        owner: NodeId,
+        after: Option<Flow>,
+    ) -> impl Iterator<Item = OwnedFlow> {
+        let flows = self.owners.flows_of(owner, after);
+        flows.map(|(flow, claim)| OwnedFlow {
+            flow,
+            confirmed: claim.confirmed,
+        })
+    }
+
+    /// Records what an agent replied to a search, or that it withdraws an announcement.
+    pub fn record_reply(&mut self, node: NodeId, run: Incarnation, flow: &Flow, reply: Reply) {
+        self.owners.record_reply(node, run, flow, reply);
+    }
+
+    /// Handles a packet of a flow that is not tracked: forwards it to the known owner, passes
+    /// it on or searches for the owner.
+    pub(super) fn route_untracked(
+        &mut self,
+        context: &mut Context<'_>,
+        mut header: Header,
+        segment: &Segment,
+    ) -> Action {
+        let flow = segment.inbound();
+        if matches!(header.mode, Mode::Search | Mode::Trial) {
+            return self.answer_search(context, header, &flow);
+        }
+        let is_claimed = header.mode == Mode::Owner;
+        if let Some(action) = self.follow_claim(context, &header, segment) {
+            return action;
+        }
+        let may_have = self.may_own(context, &flow) && !segment.reset;
+        if may_have && is_claimed {
+            return self.deliver_trial(header, flow);
+        }
+        if segment.reset {
+            return Action::Drop(DropReason::Ended);
+        }
+        if let Some(claimant) = header.requester.filter(|_| is_claimed) {
+            self.withdrawals.push((claimant, flow));
+            header.requester = None;
+        }
+        header.requester.get_or_insert(self.own_address.hop);
+        if header.hops.len() > 1 && !self.is_last_of_service(&header) {
+            return to_next_hop(header);
+        }
+        self.search(context, header, segment)
+    }
+
+    /// Forwards a packet to the owner that has announced itself. Resets the flow if that one is
+    /// confirmed and gone. If it is gone and not confirmed, another agent that took a copy of
+    /// the SYN may own the flow.
+    fn follow_claim(
+        &mut self,
+        context: &Context<'_>,
+        header: &Header,
+        segment: &Segment,
+    ) -> Option<Action> {
+        let flow = segment.inbound();
+        let claim = self.owners.claim(&flow)?;
+        let node = claim.owner.hop.node;
+        let is_gone = context.roster.is_gone(node, context.now);
+        if is_gone && claim.confirmed && !segment.reset {
+            let cause = ResetCause::Unowned(Some(node));
+            return Some(if self.may_reset(context) {
+                Action::Reset(flow, segment.ack, cause)
+            } else {
+                Action::Drop(DropReason::Searched)
+            });
+        }
+        if is_gone || header.mode == Mode::Owner {
+            return None;
+        }
+        let mut header = header.clone();
+        header.requester.get_or_insert(self.own_address.hop);
+        Some(Action::Send(redirect(header, claim.owner, Mode::Owner)))
+    }
+
+    /// Replies to a search, or hands the packet of a trial to the upstream.
+    fn answer_search(&mut self, context: &Context<'_>, header: Header, flow: &Flow) -> Action {
+        let Some(requester) = header.requester else {
+            return Action::Drop(DropReason::Target);
+        };
+        let claim = self.owners.claim(flow);
+        if let Some(claim) = claim.filter(|claim| claim.confirmed) {
+            return Action::ReplyOwner(requester, *flow, claim);
+        }
+        let may_own = self.may_own(context, flow);
+        let trial = context.tracking == Tracking::Partial;
+        if may_own && trial && header.mode == Mode::Trial {
+            return self.deliver_trial(header, *flow);
+        }
+        let is_live = |claim: Claim| !context.roster.is_gone(claim.owner.hop.node, context.now);
+        let reply = if self.owners.is_absent(flow) {
+            Reply::Returned
+        } else if may_own {
+            Reply::Unknown { trial }
+        } else if claim.is_some_and(is_live) {
+            Reply::Unknown { trial: false }
+        } else {
+            Reply::NotOwned
+        };
+        Action::ReplySearch(requester, *flow, reply)
+    }
+
+    fn deliver_trial(&mut self, header: Header, flow: Flow) -> Action {
+        let token = self.headers.push(flow, header);
+        Action::Deliver(token)
+    }
+
+    /// Returns whether the upstream may have a flow that is not tracked.
+    fn may_own(&self, context: &Context<'_>, flow: &Flow) -> bool {
+        context.tracking != Tracking::Complete && !self.owners.is_absent(flow)
+    }
+
+    /// Returns whether no agent of this service follows in the chain.
+    fn is_last_of_service(&self, header: &Header) -> bool {
+        let service = self.own_address.service;
+        header.hops[1..].iter().all(|hop| hop.service != service)
+    }
+
+    /// Searches for the owner of a flow by sending the packet to the other agents of the
+    /// service, which reply to this agent. The packet also goes on to the agents of the
+    /// route's other services.
+    fn search(
+        &mut self,
+        context: &mut Context<'_>,
+        mut header: Header,
+        segment: &Segment,
+    ) -> Action {
+        let flow = segment.inbound();
+        let own = self.own_address;
+        let candidates = self.candidates(context);
+        let due = self
+            .owners
+            .start_search(flow, segment.ack, &header.scope, context.now);
+        if self.is_excluded(context, &flow, &candidates) {
+            header.scope.excluded.push(own.service);
+        }
+        let recipients = match self.owners.recipients(own.service, &flow, &candidates) {
+            Recipients::Ask(nodes) if due => {
+                header.mode = Mode::Search;
+                header.requester = Some(own.hop);
+                return Action::Search(header, nodes);
+            }
+            Recipients::Try(nodes) => nodes,
+            Recipients::Ask(_) | Recipients::Nobody => Vec::new(),
+        };
+        if due && self.may_try(context, &flow, &candidates) {
+            self.owners.record_trial(&flow, own.hop.node);
+            return self.deliver_trial(header, flow);
+        }
+        if due && let Some(hop) = likeliest(context, &header, &flow, &recipients) {
+            self.owners.record_trial(&flow, hop.hop.node);
+            header.requester = Some(own.hop);
+            return Action::Send(redirect(header, hop, Mode::Trial));
+        }
+        if header.hops.len() > 1 {
+            return to_next_hop(header);
+        }
+        Action::Drop(DropReason::Searched)
+    }
+
+    /// Returns whether a packet may be handed to the own upstream, which may have the flow:
+    /// all other agents have replied.
+    fn may_try(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
+        let own = self.own_address;
+        context.tracking == Tracking::Partial
+            && self.may_own(context, flow)
+            && self.owners.may_try(own.service, own.hop.node, flow)
+            && !matches!(
+                self.owners.recipients(own.service, flow, candidates),
+                Recipients::Ask(_)
+            )
+    }
+
+    /// Returns whether no agent of this service owns a searched flow.
+    fn is_excluded(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
+        self.may_reset(context)
+            && !self.may_own(context, flow)
+            && self.owners.is_excluded(flow, candidates)
+    }
+
+    /// Returns the other agents of the service.
+    fn candidates(&self, context: &Context<'_>) -> Vec<Candidate> {
+        let service = self.own_address.service;
+        let peers = context.roster.peers().iter();
+        let agents = peers.filter(|peer| peer.entry.service() == Some(service));
+        agents
+            .map(|peer| Candidate {
+                node: peer.entry.node,
+                incarnation: peer.entry.incarnation,
+                started: peer.started,
+                gone: context.roster.is_gone(peer.entry.node, context.now),
+            })
+            .collect()
+    }
+
+    /// Resets flows that no agent of the service owns.
+    pub(super) fn reset_unowned(&mut self, context: &Context<'_>, actions: &mut Vec<Action>) {
+        if !self.owners.is_searching() || !self.may_reset(context) {
+            return;
+        }
+        let candidates = self.candidates(context);
+        let absent: Vec<_> = self.owners.searched_absent().collect();
+        let is_certain = |flow: &Flow| {
+            context.tracking == Tracking::Complete || absent.binary_search(flow).is_ok()
+        };
+        let service = self.own_address.service;
+        let lost = self.owners.take_unowned(service, &candidates, is_certain);
+        actions.extend(lost.into_iter().map(|unowned| {
+            let cause = ResetCause::Unowned(unowned.gone);
+            Action::Reset(unowned.flow, unowned.ack, cause)
+        }));
+    }
+
+    /// Returns whether this agent may reset flows of others.
+    fn may_reset(&self, context: &Context<'_>) -> bool {
+        self.may_judge(context.roster, context.now)
+    }
+
+    /// Returns whether this agent knows all other agents of the service. It may not shortly
+    /// after its start, while it has had no heartbeat from a balancer, and while it is
+    /// isolated.
+    #[must_use]
+    pub fn may_judge(&self, roster: &roster::Roster, now: Millis) -> bool {
+        let period = roster.max_period(self.own_address.service);
+        let settle_time = Millis(period.0 * SETTLE_QUARTERS / 4);
+        now >= settle_time && roster.hears_balancer() && !roster.is_isolated(now)
+    }
+}
+
+/// Returns the agent among `nodes` that is first in the flow's chain, or any of them.
+fn likeliest(
+    context: &mut Context<'_>,
+    header: &Header,
+    flow: &Flow,
+    nodes: &[NodeId],
+) -> Option<ServiceHop> {
+    let hash = flow.hash(context.seed);
+    let mut chain = context.chains.chain(header.origin, hash);
+    let ranked = chain.find(|hop| nodes.contains(&hop.hop.node));
+    ranked.or_else(|| {
+        let entry = &context.roster.find(*nodes.first()?)?.entry;
+        Some(ServiceHop {
+            service: entry.service()?,
+            hop: entry.hop()?,
+        })
+    })
+}
--- a/src/traffic.rs
+++ b/src/traffic.rs
@@ -60,8 +60,16 @@
             Message::Beat(_) | Message::Ping => Self::Heartbeat,
             Message::Roster(_) | Message::WantEntries(_) | Message::Alive(_) => Self::Entries,
             Message::Digest(_) => Self::Digest,
-            Message::Own { .. } | Message::Unowned { .. } => Self::Ownership,
-            Message::WantPages(_) | Message::ConfigPage(_) => Self::Configuration,
+            Message::Own { .. }
+            | Message::Unowned { .. }
+            | Message::Confirmed { .. }
+            | Message::Searched { .. }
+            | Message::WantFlows(_)
+            | Message::OwnedFlows(_) => Self::Ownership,
+            Message::WantPages(_)
+            | Message::ConfigPage(_)
+            | Message::WantFormer(_)
+            | Message::Former(_) => Self::Configuration,
         }
     }
 
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -34,6 +34,7 @@
             wait: Millis(100),
         }),
         requester: Some(agent.hop),
+        scope: protocol::Scope::default(),
     }
 }
 
