Separate the state machine of an agent from its sockets

A test could not drive an agent's decisions on messages, reports and time together. `agent_core` takes them as inputs with a time and returns what is to be sent; `agent_loop` keeps sockets, pacing and probes. A search holds the last packet of its flow, so that it goes on when replies arrive and not when the caller repeats the packet.

--- /dev/null
+++ b/src/agent_core.rs
@@ -0,0 +1,511 @@
+//! State machine of a pass-through agent, without sockets and clocks: packets, messages,
+//! reports and the passage of time go in, and what is to be sent comes out.
+
+mod actions;
+mod ownership;
+
+use std::{mem, net::SocketAddrV4};
+
+use log::{debug, info, warn};
+use serde::Serialize;
+
+use crate::{
+    chains, clock::Millis, conntrack, flow_recovery, header, ident, member, pacer, packet::Flow,
+    peer_sync, polling, protocol, roster, segment, status, steering, telemetry, transport,
+};
+
+/// Time after the start of the agent after which no untracked flow is left: a flow
+/// without a packet for that long has reached its idle timeout.
+const COMPLETE_AFTER: Millis = Millis(75_000);
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the agent, unique in the fleet.
+    pub name: String,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Name of the upstream's service.
+    pub service: String,
+    /// Address for packets and messages from other nodes. Packets to callers are sent to
+    /// the same port.
+    pub packets: SocketAddrV4,
+    /// Address to which the upstream sends its packets.
+    pub outbound: SocketAddrV4,
+    /// Address at which the upstream accepts packets and connections.
+    pub upstream: SocketAddrV4,
+    /// Message addresses of some balancers, used to join the fleet.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Secret from which the fleet's sealing key is derived.
+    pub secret: String,
+    /// Period of the upstream's status reports.
+    pub report_period: Millis,
+    /// Whether the whole fleet is started for the first time, so that no flows exist yet.
+    pub first_start: bool,
+    /// Grace period between the request to shut down and the kill of the process.
+    pub grace: Millis,
+    /// Rate of the host's link in Mbit/s.
+    pub link_mbps: f64,
+}
+
+/// What an agent sends or does in reply to an input.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Send the packet to the upstream.
+    Deliver(Vec<u8>),
+    /// Send the packet to the first hop of the header.
+    Forward(protocol::Header, Vec<u8>),
+    /// Send the message to another node.
+    Message(SocketAddrV4, protocol::Message),
+    /// Send the packet to a caller.
+    Answer(std::net::Ipv4Addr, Vec<u8>, pacer::Class),
+    /// Open a connection to the upstream to check that it still listens.
+    Probe,
+}
+
+/// Content of a state dump.
+#[derive(Serialize)]
+struct Dump<'a> {
+    now: Millis,
+    recovery: &'a flow_recovery::Recovery,
+    leaving: bool,
+    status: &'a status::Status,
+    busy: u32,
+    slots: u32,
+    mean_ms: Millis,
+    /// Time for which the upstream has been unresponsive.
+    unheard_ms: Option<Millis>,
+    flows: &'a [conntrack::Entry],
+    /// Number of flows for which another agent is known as the owner.
+    redirects: usize,
+    roster: &'a roster::Roster,
+    config: u64,
+    /// Time that the waiting datagrams take up the link.
+    link_delay_ms: Millis,
+    /// Number of datagrams that were not sent.
+    unsent: transport::Unsent,
+}
+
+/// State of an agent.
+#[derive(Debug)]
+pub struct AgentCore {
+    codec: segment::Codec,
+    settings: Settings,
+    service: ident::ServiceId,
+    hash_seed: u64,
+    peers: peer_sync::PeerSync,
+    status: status::Status,
+    flows: steering::Flows,
+    chains: chains::Chains,
+    /// Roster revision from which the chains were built.
+    chains_revision: Option<u64>,
+    recovery: flow_recovery::Recovery,
+    leaving: bool,
+    telemetry: telemetry::Telemetry,
+    /// Time of the last input.
+    now: Millis,
+    outputs: Vec<Output>,
+}
+
+impl Settings {
+    /// Creates the entry of an agent that starts now.
+    #[must_use]
+    pub fn starting_entry(&self) -> roster::Entry {
+        let upstream = roster::Upstream {
+            service: ident::ServiceId::of(&self.service),
+            packets: self.packets,
+            state: Some(member::State::Starting),
+            step: 0,
+        };
+        roster::Entry::starting(&self.name, &self.domain, self.packets, Some(upstream))
+    }
+}
+
+const fn service_hop(
+    me: &roster::Entry,
+    service: ident::ServiceId,
+    addr: SocketAddrV4,
+) -> protocol::ServiceHop {
+    protocol::ServiceHop {
+        service,
+        hop: header::Hop {
+            node: me.node,
+            incarnation: me.incarnation,
+            addr,
+        },
+    }
+}
+
+impl AgentCore {
+    /// Creates the state of an agent with the entry `me`. `hash_seed` is the seed of the flow
+    /// hash, the same in the whole fleet.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        me: roster::Entry,
+        codec: segment::Codec,
+        hash_seed: u64,
+        telemetry: telemetry::Telemetry,
+        now: Millis,
+    ) -> Self {
+        let service = ident::ServiceId::of(&settings.service);
+        let seed = me.incarnation.0;
+        let own_address = service_hop(&me, service, settings.packets);
+        let peers = peer_sync::PeerSync::new(me, settings.seeds.clone(), seed, now);
+        Self {
+            codec,
+            service,
+            hash_seed,
+            chains: chains::Chains::new(service, peers.roster()),
+            chains_revision: None,
+            peers,
+            status: status::Status::new(service, settings.report_period),
+            flows: steering::Flows::new(own_address),
+            recovery: flow_recovery::Recovery::new(settings.first_start),
+            leaving: false,
+            telemetry,
+            now,
+            outputs: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub const fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns the known nodes.
+    #[must_use]
+    pub const fn roster(&self) -> &roster::Roster {
+        self.peers.roster()
+    }
+
+    /// Returns the tracked flows.
+    #[must_use]
+    pub const fn flows(&self) -> &steering::Flows {
+        &self.flows
+    }
+
+    /// Returns what is known of the upstream's flows.
+    #[must_use]
+    pub fn tracking(&self) -> flow_recovery::Tracking {
+        self.recovery.tracking()
+    }
+
+    /// Returns whether no request is outstanding, so that the process may end.
+    #[must_use]
+    pub const fn is_idle(&self) -> bool {
+        self.flows.load().busy() == 0
+    }
+
+    /// Returns what has to be polled from the platform.
+    #[must_use]
+    pub fn polling(&self) -> polling::Polling {
+        self.peers.polling(self.now)
+    }
+
+    /// Returns metrics and log limits.
+    #[must_use]
+    pub const fn telemetry(&self) -> &telemetry::Telemetry {
+        &self.telemetry
+    }
+
+    /// Returns what is to be sent, in order.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        self.flush();
+        mem::take(&mut self.outputs)
+    }
+
+    /// Sets the balancer addresses that are registered on the platform.
+    pub fn set_platform_addresses(&mut self, addresses: Vec<SocketAddrV4>) {
+        self.peers.set_platform_addresses(addresses);
+    }
+
+    /// Starts to shut down: other agents are told all owners of flows known here.
+    pub fn stop(&mut self, now: Millis) {
+        self.now = now;
+        self.leaving = true;
+        self.hand_over(Millis(0));
+        self.peers.update_self(|me| me.leaving = true);
+    }
+
+    /// Tells other agents the owners that became known since the request to shut down.
+    pub fn finish(&mut self, stopped: Millis, now: Millis) {
+        self.now = now;
+        self.hand_over(stopped);
+    }
+
+    /// Handles a packet that a balancer or another agent forwarded.
+    pub fn handle_inbound(&mut self, header: protocol::Header, mut packet: Vec<u8>, now: Millis) {
+        self.now = now;
+        let Some(segment) = self.parse(&packet) else {
+            return;
+        };
+        let action =
+            self.decide(|flows, context| flows.inbound(context, header, &segment, &packet));
+        self.log_decision(Some(segment.inbound()), &action);
+        self.perform(action, &mut packet);
+    }
+
+    /// Handles a packet of the upstream.
+    pub fn handle_outbound(&mut self, mut packet: Vec<u8>, now: Millis) {
+        self.now = now;
+        let Some(segment) = self.parse(&packet) else {
+            return;
+        };
+        let action = self.decide(|flows, context| flows.outbound(context, &segment, &packet));
+        if action == steering::Action::Answer {
+            let caller = *segment.to.ip();
+            let output = Output::Answer(caller, packet, pacer::Class::Normal);
+            self.outputs.push(output);
+        } else {
+            let flow = if segment.bounced {
+                segment.inbound()
+            } else {
+                segment.outbound()
+            };
+            self.log_decision(Some(flow), &action);
+            self.perform(action, &mut packet);
+        }
+    }
+
+    /// Handles a status report of the upstream, received when the host's wall clock showed
+    /// `wall`.
+    pub fn handle_report(&mut self, report: status::Report, wall: Millis, now: Millis) {
+        self.now = now;
+        let was_followed = self.status.is_followed();
+        let (state, slots, seq) = (report.state, report.slots, report.seq);
+        let age = wall.since(report.born);
+        let id = report.id.clone();
+        match self.status.apply(report, now) {
+            status::Effect::NewRun => {
+                info!(
+                    upstream = id, slots = slots, state:? = state, seq = seq, age_ms = age.0;
+                    "upstream started"
+                );
+                self.recovery
+                    .record_report(flow_recovery::FirstReport { seq, age });
+                // A run that replaces a known one started after this agent, which therefore
+                // has seen all of its flows.
+                if was_followed {
+                    self.recovery.complete(now);
+                }
+                self.flows.load_mut().set_slots(slots);
+            }
+            status::Effect::Updated => self.flows.load_mut().set_slots(slots),
+            effect => debug!(upstream = id, effect:? = effect; "ignoring status report"),
+        }
+        self.update_entry();
+    }
+
+    /// Handles the deregistration of the upstream with this identifier and, if given, this
+    /// start time.
+    pub fn deregister(&mut self, id: &str, born: Option<Millis>, now: Millis) {
+        self.now = now;
+        if !self.status.deregister(id, born) {
+            debug!(upstream = id; "ignoring deregistration of another run of the upstream");
+            return;
+        }
+        info!(
+            upstream = id,
+            flows = self.flows.entries().len();
+            "upstream deregistered; resetting its flows"
+        );
+        self.drop_upstream();
+    }
+
+    /// Handles the result of a connection probe.
+    pub fn handle_probe_result(&mut self, listens: bool, now: Millis) {
+        self.now = now;
+        debug!(listens = listens; "upstream probe finished");
+        self.flows.record_probe(listens, now);
+        self.check_failure(now);
+    }
+
+    /// Runs the periodic work.
+    pub fn tick(&mut self, now: Millis) {
+        self.now = now;
+        if now >= COMPLETE_AFTER {
+            self.recovery.complete(now);
+        }
+        self.peers.tick(now);
+        self.recover_flows();
+        self.update_entry();
+        let mut actions = Vec::new();
+        self.decide(|flows, context| flows.tick(context, &mut actions));
+        for action in actions {
+            self.log_decision(None, &action);
+            self.perform(action, &mut []);
+        }
+        self.check_failure(now);
+    }
+
+    /// Returns the state as JSON.
+    #[must_use]
+    pub fn dump(&self, link_delay: Millis, unsent: transport::Unsent, now: Millis) -> String {
+        let load = self.flows.load();
+        let dump = Dump {
+            now,
+            recovery: &self.recovery,
+            leaving: self.leaving,
+            status: &self.status,
+            busy: load.busy(),
+            slots: load.slots(),
+            mean_ms: load.mean_time(),
+            unheard_ms: self.flows.failure().suspected_for(now),
+            flows: self.flows.entries(),
+            redirects: self.flows.redirects(),
+            roster: self.peers.roster(),
+            config: self.peers.config_version(),
+            link_delay_ms: link_delay,
+            unsent,
+        };
+        serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
+    }
+
+    /// Counts a decision and logs it within the rate limit.
+    fn log_decision(&mut self, flow: Option<Flow>, action: &steering::Action) {
+        let severity = match action {
+            steering::Action::Deliver(0) | steering::Action::Answer => return,
+            steering::Action::Deliver(_)
+            | steering::Action::Send(_)
+            | steering::Action::ReplySearch(..)
+            | steering::Action::ReplyOwner(..)
+            | steering::Action::Drop(
+                steering::DropReason::NotOwned | steering::DropReason::Searched,
+            ) => telemetry::Severity::Routine,
+            _ => telemetry::Severity::Notable,
+        };
+        let now = self.now;
+        let Some(suppressed) = self.telemetry.record_decision(action.name(), severity, now) else {
+            return;
+        };
+        let (flow, gone) = match action {
+            steering::Action::Reset(flow, _, cause) => (Some(*flow), self.gone_agent(*cause)),
+            _ => (flow, None),
+        };
+        let flow = flow.map(|flow| flow.to_string()).unwrap_or_default();
+        let load = self.flows.load();
+        info!(
+            decision = action.name(),
+            flow = flow,
+            busy = load.busy(),
+            slots = load.slots(),
+            mean_ms = load.mean_time().0,
+            report_age_ms = now.since(self.status.reported_at()).0,
+            roster = self.peers.roster().revision(),
+            tracking:? = self.recovery.tracking(),
+            left_out = suppressed;
+            "flow decision"
+        );
+        if let Some(agent) = gone {
+            info!(
+                node = agent.entry.node.0,
+                incarnation = agent.entry.incarnation.0,
+                leaving = agent.entry.leaving,
+                state:? = agent.entry.upstream.and_then(|upstream| upstream.state),
+                silent = agent.silent,
+                heard_ms = now.since(agent.heard).0,
+                period_ms = agent.period.0;
+                "agent that did not reply is considered gone"
+            );
+        }
+    }
+
+    /// Returns what is known of an agent that was considered gone in a search.
+    fn gone_agent(&self, cause: steering::ResetCause) -> Option<&roster::Peer> {
+        match cause {
+            steering::ResetCause::Unowned(Some(node)) => self.peers.roster().find(node),
+            _ => None,
+        }
+    }
+
+    /// Resets all flows of a failed or deregistered upstream and announces the change to
+    /// the other nodes.
+    fn drop_upstream(&mut self) {
+        let mut actions = Vec::new();
+        self.flows.reset_all(&mut actions);
+        self.recovery.complete(self.now);
+        self.update_entry();
+        for action in actions {
+            self.log_decision(None, &action);
+            self.perform(action, &mut []);
+        }
+    }
+
+    /// Updates this node's entry from the state of the upstream.
+    fn update_entry(&mut self) {
+        let state = self.status.state(self.now);
+        let step = self.flows.load_mut().capacity_step();
+        self.peers.update_self(|me| {
+            if let Some(upstream) = &mut me.upstream {
+                upstream.state = state;
+                upstream.step = step;
+            }
+        });
+    }
+
+    /// Returns whether the upstream accepts new flows.
+    fn accepts_flows(&self) -> bool {
+        let upstream = self.peers.roster().me().upstream;
+        !self.leaving && upstream.is_some_and(|up| up.state == Some(member::State::Ready))
+    }
+
+    /// Rebuilds the candidate chains if the roster has changed.
+    fn refresh_chains(&mut self) {
+        let roster = self.peers.roster();
+        if self.chains_revision != Some(roster.revision()) {
+            self.chains_revision = Some(roster.revision());
+            self.chains = chains::Chains::new(self.service, roster);
+            let me = service_hop(roster.me(), self.service, self.settings.packets);
+            self.flows.set_self(me);
+        }
+    }
+
+    /// Runs a decision of the flow table with the current context.
+    fn decide<T>(
+        &mut self,
+        decision: impl FnOnce(&mut steering::Flows, &mut steering::Context<'_>) -> T,
+    ) -> T {
+        self.refresh_chains();
+        let mut context = steering::Context {
+            accepts: self.accepts_flows(),
+            tracking: self.recovery.tracking(),
+            chains: &mut self.chains,
+            roster: self.peers.roster(),
+            seed: self.hash_seed,
+            now: self.now,
+        };
+        decision(&mut self.flows, &mut context)
+    }
+
+    /// Resets the flows of the upstream if it has failed.
+    fn check_failure(&mut self, now: Millis) {
+        let report_age = now.since(self.status.reported_at());
+        let failure = self.flows.failure();
+        let failed = failure.has_failed(report_age, self.settings.report_period, now);
+        if failed && self.status.report().is_some() {
+            warn!(
+                flows = self.flows.entries().len(),
+                report_age_ms = report_age.0,
+                failure:? = failure;
+                "upstream has failed; resetting its flows"
+            );
+            self.status.clear();
+            self.drop_upstream();
+        }
+    }
+
+    fn parse(&self, packet: &[u8]) -> Option<segment::Segment> {
+        match (self.codec.parse)(packet) {
+            Ok(segment) => Some(segment),
+            Err(error) => {
+                self.telemetry.count_unreadable();
+                debug!(error:% = error; "dropping unreadable packet");
+                None
+            }
+        }
+    }
+}
--- a/src/agent_loop/ownership.rs
+++ b/src/agent_core/ownership.rs
@@ -5,10 +5,11 @@
 
 use log::info;
 
-use super::AgentLoop;
+use super::{AgentCore, Output};
 use crate::{
     clock::Millis,
     flow_recovery,
+    ident::{Incarnation, NodeId},
     packet::Flow,
     protocol::{Message, Reply, ServiceHop},
     roster,
@@ -17,10 +18,10 @@
 /// Time for which crashes of other agents are reported to one that recovers its flows.
 const CRASH_SPAN: Millis = Millis(10_000);
 
-impl AgentLoop {
+impl AgentCore {
     /// Handles a message of another node.
-    pub(super) fn handle_message(&mut self, from: SocketAddrV4, message: Message) {
-        let now = self.clock.now();
+    pub fn handle_message(&mut self, from: SocketAddrV4, message: Message, now: Millis) {
+        self.now = now;
         match message {
             Message::Own { owner, flows } => self.learn_owners(owner, &flows, false),
             Message::Confirmed { owner, flows } => self.learn_owners(owner, &flows, true),
@@ -28,7 +29,7 @@
                 let run = self.peers.roster().find(node);
                 let run = run.map(|peer| peer.entry.incarnation).unwrap_or_default();
                 for flow in flows {
-                    self.flows.record_reply(node, run, &flow, Reply::NotOwned);
+                    self.record_reply(node, run, flow, Reply::NotOwned);
                 }
             }
             Message::Searched {
@@ -36,7 +37,7 @@
                 incarnation,
                 flow,
                 reply,
-            } => self.flows.record_reply(node, incarnation, &flow, reply),
+            } => self.record_reply(node, incarnation, flow, reply),
             Message::WantFlows(request) => self.send_flows(from, request),
             Message::OwnedFlows(page) => self.receive_flows(from, &page),
             message => self.peers.receive(from, message, now),
@@ -50,7 +51,7 @@
 
     /// Requests the flows of the upstream from other agents while they are not known.
     pub(super) fn recover_flows(&mut self) {
-        let now = self.clock.now();
+        let now = self.now;
         let roster = self.peers.roster();
         let requests = self.recovery.requests(roster, self.service, now);
         let known = requests.into_iter().filter_map(|(node, request)| {
@@ -60,7 +61,8 @@
         let messages: Vec<_> = known.collect();
         let settled = self.flows.may_judge(roster, now);
         for (to, request) in messages {
-            self.send_message(to, &Message::WantFlows(request));
+            self.outputs
+                .push(Output::Message(to, Message::WantFlows(request)));
         }
         if self.recovery.update(settled, now) {
             info!(
@@ -72,24 +74,34 @@
         }
     }
 
+    /// Records the reply of another agent to a search, and goes on with the search.
+    fn record_reply(&mut self, node: NodeId, run: Incarnation, flow: Flow, reply: Reply) {
+        self.flows.record_reply(node, run, &flow, reply);
+        let next = self.decide(|flows, context| flows.continue_search(context, &flow));
+        if let Some(action) = next {
+            self.log_decision(Some(flow), &action);
+            self.perform(action, &mut []);
+        }
+    }
+
     fn learn_owners(&mut self, owner: ServiceHop, flows: &[Flow], confirmed: bool) {
         let is_own = owner.hop.node == self.peers.roster().me().node;
         if is_own && confirmed {
-            let owned = flows.iter().map(|flow| flow_recovery::OwnedFlow {
+            let adopted = flows.iter().map(|flow| flow_recovery::OwnedFlow {
                 flow: *flow,
                 confirmed,
             });
-            let owned: Vec<_> = owned.collect();
-            self.decide(|own, context| own.adopt(context, &owned));
+            let adopted: Vec<_> = adopted.collect();
+            self.decide(|table, context| table.adopt(context, &adopted));
         } else {
-            let now = self.clock.now();
+            let now = self.now;
             self.flows.learn_owners(owner, flows, confirmed, now);
         }
     }
 
     /// Sends a page of the flows that another agent owns.
     fn send_flows(&mut self, to: SocketAddrV4, request: flow_recovery::Request) {
-        let now = self.clock.now();
+        let now = self.now;
         let roster = self.peers.roster();
         let me = roster.me();
         let owner = roster.find(request.owner);
@@ -110,18 +122,20 @@
             knew_owner: owner.is_some_and(roster::Peer::has_restarted),
             crashes: roster.recent_crashes(self.service, request.owner, CRASH_SPAN, now),
         };
-        self.send_message(to, &Message::OwnedFlows(page));
+        self.outputs
+            .push(Output::Message(to, Message::OwnedFlows(page)));
     }
 
     fn receive_flows(&mut self, from: SocketAddrV4, page: &flow_recovery::Page) {
-        if self.recovery.tracking() != flow_recovery::Tracking::Recovering {
+        if !self.recovery.is_running() {
             return;
         }
         self.decide(|flows, context| flows.adopt(context, &page.flows));
-        let now = self.clock.now();
+        let now = self.now;
         let me = self.peers.roster().me().node;
         if let Some(request) = self.recovery.receive(page, me, now) {
-            self.send_message(from, &Message::WantFlows(request));
+            self.outputs
+                .push(Output::Message(from, Message::WantFlows(request)));
         }
     }
 }
--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -23,9 +23,12 @@
 /// Time after the start of the agent at which a recovery that is not complete ends.
 const TIMEOUT: Millis = Millis(5_000);
 
-/// Time before the start of the agent from which crashes of other agents count: those that
-/// started earlier have been told of the agent's flows since.
-const CRASH_SPAN: Millis = Millis(10_000);
+/// Time before the start of this agent from which another one must have been up to have been
+/// told of all flows.
+const WITNESS_AGE: Millis = Millis(6_000);
+
+/// Age of an upstream up to which it may be one that has just started.
+const NEW_AGE: Millis = Millis(10_000);
 
 /// Number of agents of the service that may have crashed without a loss of flows, as each
 /// flow that stays open is known to two agents besides its owner.
@@ -144,10 +147,23 @@
 
     /// Returns what is known of the upstream's flows.
     #[must_use]
-    pub const fn tracking(&self) -> Tracking {
+    pub fn tracking(&self) -> Tracking {
+        let is_hopeless = || {
+            let answered = !self.sources.is_empty() && self.sources.iter().all(|s| s.done);
+            answered && !self.has_witness && !self.is_reliable()
+        };
+        if self.is_running() && self.first_report.is_some() && is_hopeless() {
+            return Tracking::Partial;
+        }
         self.tracking
     }
 
+    /// Returns whether flows are still being requested.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.tracking == Tracking::Recovering
+    }
+
     /// Records that all flows of the upstream are tracked, because it started after the agent
     /// or because flows that were opened before cannot be open any more.
     pub fn complete(&mut self, now: Millis) {
@@ -169,7 +185,7 @@
         service: ServiceId,
         now: Millis,
     ) -> Vec<(NodeId, Request)> {
-        if self.tracking != Tracking::Recovering {
+        if !self.is_running() {
             return Vec::new();
         }
         self.update_sources(roster, service, now);
@@ -199,7 +215,7 @@
         if source.done || source.incarnation != page.incarnation || source.after != page.after {
             return None;
         }
-        self.has_witness |= page.uptime > now + CRASH_SPAN;
+        self.has_witness |= page.uptime > now + WITNESS_AGE;
         self.has_predecessor |= page.knew_owner;
         self.crashes = self.crashes.max(page.crashes);
         let last = page.flows.last().map(|owned| owned.flow);
@@ -215,11 +231,12 @@
     /// Ends the recovery if it is decided. `settled` states whether all live agents of the
     /// service are known. Returns whether it has ended now.
     pub fn update(&mut self, settled: bool, now: Millis) -> bool {
-        if self.tracking != Tracking::Recovering {
+        if !self.is_running() {
             return false;
         }
         let answered = settled && self.sources.iter().all(|source| source.done);
-        if !answered && now < TIMEOUT {
+        let decided = answered && (self.first_report.is_some() || self.is_reliable());
+        if !decided && now < TIMEOUT {
             return false;
         }
         self.ended = Some(now);
@@ -234,7 +251,7 @@
     /// Returns whether no flow of the upstream can be unknown to all agents that were asked.
     fn is_reliable(&self) -> bool {
         let is_new = |report: FirstReport| {
-            report.seq <= MAX_FIRST_REPORT && report.age < CRASH_SPAN && !self.has_predecessor
+            report.seq <= MAX_FIRST_REPORT && report.age < NEW_AGE && !self.has_predecessor
         };
         let known = self.has_witness && self.crashes <= MAX_CRASHES;
         known || self.first_report.is_some_and(is_new)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //!   bytes to the upstream ([`forward`], [`flow`], [`relay`], [`membership`], [`gossip`]).
 //!   The programs are `cassiacross-balancer` and `cassiacross-agent`.
 //! - In a pass-through service, the upstream terminates the flow itself, and the agent only
-//!   decides where each packet goes ([`balancer_loop`], [`agent_loop`], [`routing`],
+//!   decides where each packet goes ([`balancer_loop`], [`agent_core`], [`agent_loop`], [`routing`],
 //!   [`steering`], [`roster`]). The program is `cassiacross-platform`.
 //!
 //! Decisions are functions over in-memory tables. Event loops read the sockets, call these
@@ -18,6 +18,7 @@
 pub mod admin;
 pub mod admin_reply;
 pub mod admission;
+pub mod agent_core;
 pub mod agent_loop;
 pub mod announce;
 pub mod attempt;
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -12,7 +12,7 @@
     conntrack::{ENDED_TIMEOUT, IDLE_TIMEOUT},
     ident::{Incarnation, NodeId, ServiceId},
     packet::Flow,
-    protocol::{Reply, Scope, ServiceHop},
+    protocol::{Header, Reply, Scope, ServiceHop},
 };
 
 /// Minimum interval between two searches for the owner of one flow.
@@ -34,6 +34,9 @@
 /// they have it.
 pub const MAX_TRIALS: usize = 2;
 
+/// Number of pending searches up to which a packet of each is held.
+const MAX_HELD: usize = 512;
+
 /// Maximum number of cached owners, of pending searches and of absent flows, each.
 const MAX_ENTRIES: usize = 65_536;
 
@@ -76,6 +79,9 @@
     answers: Vec<Answer>,
     /// Agents that were given a packet for their upstream.
     tried: Vec<NodeId>,
+    /// Last packet of the flow, to go on with when agents have replied.
+    #[serde(skip)]
+    held: Option<(Header, Vec<u8>)>,
 }
 
 /// Agent that may own a searched flow.
@@ -226,6 +232,7 @@
                     scope: scope.clone(),
                     answers: Vec::new(),
                     tried: Vec::new(),
+                    held: None,
                 };
                 self.searches.insert(at, search);
             }
@@ -273,6 +280,28 @@
         })
     }
 
+    /// Holds the last packet of a searched flow.
+    pub fn hold(&mut self, flow: &Flow, header: &Header, bytes: &[u8]) {
+        let is_full = self.searches.len() > MAX_HELD;
+        if let Ok(at) = self.find_search(flow) {
+            let packet = (!is_full).then(|| (header.clone(), bytes.to_vec()));
+            self.searches[at].held = packet;
+        }
+    }
+
+    /// Returns the held packet of a searched flow, unless an upstream that was given one may
+    /// still answer.
+    #[must_use]
+    pub fn held(&self, flow: &Flow) -> Option<(Header, Vec<u8>)> {
+        let search = &self.searches[self.find_search(flow).ok()?];
+        let has_returned = |node: &NodeId| {
+            let mut answers = search.answers.iter();
+            answers.any(|answer| answer.node == *node && answer.reply == Reply::Returned)
+        };
+        let held = search.held.clone();
+        held.filter(|_| search.tried.iter().all(has_returned))
+    }
+
     /// Records that an agent was given a packet of a flow for its upstream.
     pub fn record_trial(&mut self, flow: &Flow, node: NodeId) {
         if let Ok(at) = self.find_search(flow) {
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -161,7 +161,7 @@
         if segment.syn {
             return self.open_flow(context, header, segment, bytes);
         }
-        self.route_untracked(context, header, segment)
+        self.route_untracked(context, header, segment, bytes)
     }
 
     /// Decides what to do with a packet that the upstream sent or returned as
@@ -169,12 +169,17 @@
     ///
     /// Only packets that respond to a caller (a SYN-ACK, data or a returned packet) show
     /// that the upstream is responsive: a hung upstream may still close idle flows.
-    pub fn outbound(&mut self, context: &mut Context<'_>, segment: &Segment) -> Action {
+    pub fn outbound(
+        &mut self,
+        context: &mut Context<'_>,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
         if segment.bounced || segment.syn_ack || segment.len > 0 {
             self.failure.record_response();
         }
         if segment.bounced {
-            return self.handle_returned(context, segment);
+            return self.handle_returned(context, segment, bytes);
         }
         let flow = segment.outbound();
         let found = self.find(&flow);
@@ -280,7 +285,12 @@
     /// packet of a tracked flow resets it, because the upstream no longer has it. A
     /// packet of an untracked flow is routed as if all flows were tracked, because it does
     /// not belong to this upstream.
-    fn handle_returned(&mut self, context: &mut Context<'_>, segment: &Segment) -> Action {
+    fn handle_returned(
+        &mut self,
+        context: &mut Context<'_>,
+        segment: &Segment,
+        bytes: &[u8],
+    ) -> Action {
         let flow = segment.inbound();
         let pending = self.headers.take(segment.token, &flow);
         if segment.syn {
@@ -317,7 +327,7 @@
         let Some(header) = pending else {
             return Action::Drop(DropReason::NotOwned);
         };
-        self.route_untracked(context, header, segment)
+        self.route_untracked(context, header, segment, bytes)
     }
 
     /// Handles a reset by the upstream of a flow that is not tracked or was not opened here:
--- a/src/steering/action.rs
+++ b/src/steering/action.rs
@@ -49,6 +49,8 @@
     /// Deliver the packet to the upstream with this token (see [`Segment::token`]), which
     /// is 0 for a tracked flow.
     Deliver(u32),
+    /// Deliver the buffered bytes of an earlier packet to the upstream with this token.
+    DeliverHeld(u32, Vec<u8>),
     /// Forward the packet to the first hop of the header.
     Send(Header),
     /// Forward the buffered bytes of an earlier packet to the first hop of the header.
@@ -106,12 +108,16 @@
         match self {
             Self::Deliver(0) => "deliver",
             Self::Deliver(_) => "accept",
+            Self::DeliverHeld(..) => "try_held",
             Self::Send(header) => match header.mode {
                 Mode::Owner => "forward_to_owner",
                 Mode::Trial => "try",
                 Mode::Chain | Mode::Search => "pass_on",
             },
-            Self::Resend(..) => "pass_on_unanswered",
+            Self::Resend(header, _) => match header.mode {
+                Mode::Trial => "try",
+                _ => "pass_on_unanswered",
+            },
             Self::Search(..) => "search",
             Self::ReplySearch(_, _, reply) => reply.name(),
             Self::ReplyOwner(..) => "reply_owner",
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -23,6 +23,14 @@
 /// the next digest.
 const SETTLE_QUARTERS: u64 = 10;
 
+/// Upstream to which a packet is handed to find out whether it has the flow.
+enum Trial {
+    /// The own one.
+    Own,
+    /// That of another agent.
+    Other(ServiceHop),
+}
+
 impl Flows {
     /// Records the claim of another agent to these flows.
     pub fn learn_owners(
@@ -82,6 +90,7 @@
         context: &mut Context<'_>,
         mut header: Header,
         segment: &Segment,
+        bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
         if matches!(header.mode, Mode::Search | Mode::Trial) {
@@ -106,7 +115,7 @@
         if header.hops.len() > 1 && !self.is_last_of_service(&header) {
             return to_next_hop(header);
         }
-        self.search(context, header, segment)
+        self.search(context, header, segment, bytes)
     }
 
     /// Forwards a packet to the owner that has announced itself. Resets the flow if that one is
@@ -189,6 +198,7 @@
         context: &mut Context<'_>,
         mut header: Header,
         segment: &Segment,
+        bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
         let own = self.own_address;
@@ -199,23 +209,18 @@
         if self.is_excluded(context, &flow, &candidates) {
             header.scope.excluded.push(own.service);
         }
-        let recipients = match self.owners.recipients(own.service, &flow, &candidates) {
-            Recipients::Ask(nodes) if due => {
-                header.mode = Mode::Search;
-                header.requester = Some(own.hop);
-                return Action::Search(header, nodes);
-            }
-            Recipients::Try(nodes) => nodes,
-            Recipients::Ask(_) | Recipients::Nobody => Vec::new(),
-        };
-        if due && self.may_try(context, &flow, &candidates) {
-            self.owners.record_trial(&flow, own.hop.node);
-            return self.deliver_trial(header, flow);
+        header.requester = Some(own.hop);
+        self.owners.hold(&flow, &header, bytes);
+        let recipients = self.owners.recipients(own.service, &flow, &candidates);
+        if due && let Recipients::Ask(nodes) = recipients {
+            header.mode = Mode::Search;
+            return Action::Search(header, nodes);
         }
-        if due && let Some(hop) = likeliest(context, &header, &flow, &recipients) {
-            self.owners.record_trial(&flow, hop.hop.node);
-            header.requester = Some(own.hop);
-            return Action::Send(redirect(header, hop, Mode::Trial));
+        if due && let Some(trial) = self.choose_trial(context, &header, &flow, &candidates) {
+            return match trial {
+                Trial::Own => self.deliver_trial(header, flow),
+                Trial::Other(hop) => Action::Send(redirect(header, hop, Mode::Trial)),
+            };
         }
         if header.hops.len() > 1 {
             return to_next_hop(header);
@@ -223,6 +228,43 @@
         Action::Drop(DropReason::Searched)
     }
 
+    /// Goes on with a search after a reply: hands the held packet to an agent that may try, if
+    /// all others have replied.
+    pub fn continue_search(&mut self, context: &mut Context<'_>, flow: &Flow) -> Option<Action> {
+        let (header, bytes) = self.owners.held(flow)?;
+        let candidates = self.candidates(context);
+        Some(
+            match self.choose_trial(context, &header, flow, &candidates)? {
+                Trial::Own => {
+                    let token = self.headers.push(*flow, header);
+                    Action::DeliverHeld(token, bytes)
+                }
+                Trial::Other(hop) => Action::Resend(redirect(header, hop, Mode::Trial), bytes),
+            },
+        )
+    }
+
+    /// Chooses the agent whose upstream is tried next, if any may be tried, and records it.
+    fn choose_trial(
+        &mut self,
+        context: &mut Context<'_>,
+        header: &Header,
+        flow: &Flow,
+        candidates: &[Candidate],
+    ) -> Option<Trial> {
+        let own = self.own_address;
+        if self.may_try(context, flow, candidates) {
+            self.owners.record_trial(flow, own.hop.node);
+            return Some(Trial::Own);
+        }
+        let Recipients::Try(nodes) = self.owners.recipients(own.service, flow, candidates) else {
+            return None;
+        };
+        let hop = likeliest(context, header, flow, &nodes)?;
+        self.owners.record_trial(flow, hop.hop.node);
+        Some(Trial::Other(hop))
+    }
+
     /// Returns whether a packet may be handed to the own upstream, which may have the flow:
     /// all other agents have replied.
     fn may_try(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
--- a/tests/load_model/fleet.rs
+++ b/tests/load_model/fleet.rs
@@ -218,7 +218,7 @@
             return;
         }
         let action = self.decide(agent, now, |flows, context| {
-            flows.outbound(context, segment)
+            flows.outbound(context, segment, b"packet")
         });
         self.perform(agent, action, segment, now, agenda);
     }
@@ -376,6 +376,7 @@
             | Action::Search(..)
             | Action::ReplySearch(..)
             | Action::ReplyOwner(..)
+            | Action::DeliverHeld(..)
             | Action::Resend(..)
             | Action::Probe => {}
         }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -120,7 +120,9 @@
     }
 
     fn outbound(&mut self, segment: &Segment, now: Millis) -> Action {
-        self.decide(now, |flows, context| flows.outbound(context, segment))
+        self.decide(now, |flows, context| {
+            flows.outbound(context, segment, b"packet")
+        })
     }
 
     fn tick(&mut self, now: Millis) -> Vec<Action> {
