--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -253,29 +253,29 @@
         candidates: &[Candidate],
     ) -> Option<Trial> {
         let own = self.own_address;
-        if self.may_try(context, flow, candidates) {
-            self.owners.record_trial(flow, own.hop.node);
-            return Some(Trial::Own);
-        }
-        let Recipients::Try(nodes) = self.owners.recipients(own.service, flow, candidates) else {
-            return None;
+        let mut nodes = match self.owners.recipients(own.service, flow, candidates) {
+            Recipients::Ask(_) => return None,
+            Recipients::Try(nodes) => nodes,
+            Recipients::Nobody => Vec::new(),
         };
+        if self.may_try(context, flow) {
+            nodes.push(own.hop.node);
+        }
         let hop = likeliest(context, header, flow, &nodes)?;
         self.owners.record_trial(flow, hop.hop.node);
-        Some(Trial::Other(hop))
+        Some(if hop.hop.node == own.hop.node {
+            Trial::Own
+        } else {
+            Trial::Other(hop)
+        })
     }
 
-    /// Returns whether a packet may be handed to the own upstream, which may have the flow:
-    /// all other agents have replied.
-    fn may_try(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
+    /// Returns whether a packet of a searched flow may be handed to the own upstream.
+    fn may_try(&self, context: &Context<'_>, flow: &Flow) -> bool {
         let own = self.own_address;
         context.tracking == Tracking::Partial
             && self.may_own(context, flow)
             && self.owners.may_try(own.service, own.hop.node, flow)
-            && !matches!(
-                self.owners.recipients(own.service, flow, candidates),
-                Recipients::Ask(_)
-            )
     }
 
     /// Returns whether no agent of this service owns a searched flow.
@@ -345,7 +345,13 @@
     let mut chain = context.chains.chain(header.origin, hash);
     let ranked = chain.find(|hop| nodes.contains(&hop.hop.node));
     ranked.or_else(|| {
-        let entry = &context.roster.find(*nodes.first()?)?.entry;
+        let node = *nodes.first()?;
+        let me = context.roster.me();
+        let entry = if me.node == node {
+            me
+        } else {
+            &context.roster.find(node)?.entry
+        };
         Some(ServiceHop {
             service: entry.service()?,
             hop: entry.hop()?,
