--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -18,6 +18,9 @@
 /// without a packet for that long has reached its idle timeout.
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
+/// Number of times that an agent announces its shutdown, once per tick.
+const FAREWELLS: u32 = 3;
+
 /// Settings of an agent.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -101,6 +104,8 @@
     chains_revision: Option<u64>,
     recovery: flow_recovery::Recovery,
     leaving: bool,
+    /// Number of times that the shutdown has been announced.
+    farewells: u32,
     telemetry: telemetry::Telemetry,
     /// Time of the last input.
     now: Millis,
@@ -163,6 +168,7 @@
             flows: steering::Flows::new(own_address),
             recovery: flow_recovery::Recovery::new(settings.first_start),
             leaving: false,
+            farewells: 0,
             telemetry,
             now,
             outputs: Vec::new(),
@@ -194,10 +200,11 @@
         self.recovery.tracking()
     }
 
-    /// Returns whether no request is outstanding, so that the process may end.
+    /// Returns whether a process that shuts down may end: no request is outstanding, and the
+    /// others have been told.
     #[must_use]
-    pub const fn is_idle(&self) -> bool {
-        self.flows.load().busy() == 0
+    pub const fn is_finished(&self) -> bool {
+        self.flows.load().busy() == 0 && self.farewells >= FAREWELLS
     }
 
     /// Returns what has to be polled from the platform.
@@ -227,8 +234,18 @@
     pub fn stop(&mut self, now: Millis) {
         self.now = now;
         self.leaving = true;
-        self.hand_over(Millis(0));
         self.peers.update_self(|me| me.leaving = true);
+        self.say_farewell();
+    }
+
+    /// Announces the shutdown, and to other agents all owners of flows known here. Repeated a
+    /// few times, because an agent that misses it may take the upstream for lost.
+    fn say_farewell(&mut self) {
+        if self.farewells < FAREWELLS {
+            self.farewells += 1;
+            self.hand_over(Millis(0));
+            self.peers.announce_self();
+        }
     }
 
     /// Tells other agents the owners that became known since the request to shut down.
@@ -285,8 +302,11 @@
                     upstream = id, slots = slots, state:? = state, seq = seq, age_ms = age.0;
                     "upstream started"
                 );
-                self.recovery
-                    .record_report(flow_recovery::FirstReport { seq, age });
+                self.recovery.record_report(flow_recovery::FirstReport {
+                    seq,
+                    age,
+                    uptime: now,
+                });
                 // A run that replaces a known one started after this agent, which therefore
                 // has seen all of its flows.
                 if was_followed {
@@ -331,6 +351,9 @@
             self.recovery.complete(now);
         }
         self.peers.tick(now);
+        if self.leaving {
+            self.say_farewell();
+        }
         self.recover_flows();
         self.update_entry();
         let mut actions = Vec::new();
@@ -426,6 +449,7 @@
     /// the other nodes.
     fn drop_upstream(&mut self) {
         let mut actions = Vec::new();
+        self.decide(|flows, context| flows.withdraw_all(context));
         self.flows.reset_all(&mut actions);
         self.recovery.complete(self.now);
         self.update_entry();
--- a/src/agent_loop.rs
+++ b/src/agent_loop.rs
@@ -113,7 +113,7 @@
         }
         agent.flush();
         let now = agent.clock.now();
-        if let Some(at) = stop_at.filter(|at| now >= *at || agent.core.is_idle()) {
+        if let Some(at) = stop_at.filter(|at| now >= *at || agent.core.is_finished()) {
             agent.core.finish(at - linger, now);
             agent.flush();
             info!("agent stopped");
--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -27,8 +27,8 @@
 /// told of all flows.
 const WITNESS_AGE: Millis = Millis(6_000);
 
-/// Age of an upstream up to which it may be one that has just started.
-const NEW_AGE: Millis = Millis(10_000);
+/// Time by which an upstream may start before its agent on a host that gets power again.
+const START_MARGIN: Millis = Millis(100);
 
 /// Number of agents of the service that may have crashed without a loss of flows, as each
 /// flow that stays open is known to two agents besides its owner.
@@ -36,7 +36,7 @@
 
 /// Largest number of the report with which an upstream that has just started may reach its
 /// agent for the first time.
-const MAX_FIRST_REPORT: u64 = 3;
+const MAX_FIRST_REPORT: u64 = 2;
 
 /// Request for a page of the flows that the sender owns.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -96,6 +96,8 @@
     pub seq: u64,
     /// Age of the upstream according to the wall clock.
     pub age: Millis,
+    /// Time since the start of the agent.
+    pub uptime: Millis,
 }
 
 /// Progress of the pages of one agent.
@@ -152,7 +154,7 @@
             let answered = !self.sources.is_empty() && self.sources.iter().all(|s| s.done);
             answered && !self.has_witness && !self.is_reliable()
         };
-        if self.is_running() && self.first_report.is_some() && is_hopeless() {
+        if self.is_running() && is_hopeless() {
             return Tracking::Partial;
         }
         self.tracking
@@ -251,7 +253,8 @@
     /// Returns whether no flow of the upstream can be unknown to all agents that were asked.
     fn is_reliable(&self) -> bool {
         let is_new = |report: FirstReport| {
-            report.seq <= MAX_FIRST_REPORT && report.age < NEW_AGE && !self.has_predecessor
+            let started_together = report.age <= report.uptime + START_MARGIN;
+            report.seq <= MAX_FIRST_REPORT && started_together && !self.has_predecessor
         };
         let known = self.has_witness && self.crashes <= MAX_CRASHES;
         known || self.first_report.is_some_and(is_new)
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -34,6 +34,9 @@
 /// they have it.
 pub const MAX_TRIALS: usize = 2;
 
+/// Number of packets that an agent that seems to be gone has to leave unanswered.
+const MIN_ASKED: u32 = 2;
+
 /// Number of pending searches up to which a packet of each is held.
 const MAX_HELD: usize = 512;
 
@@ -55,6 +58,8 @@
     claim: Claim,
     /// Time of the last announcement.
     since: Millis,
+    /// Time at which the owner, which seems to be gone, was sent a packet all the same.
+    probed: Option<Millis>,
 }
 
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -69,6 +74,8 @@
     flow: Flow,
     /// Time of the last search.
     last: Millis,
+    /// Number of times that agents were asked.
+    asked: u32,
     /// Last acknowledgement number of the caller.
     ack: u32,
     /// Time at which an agent claimed the flow, if one did.
@@ -95,6 +102,8 @@
     pub started: Millis,
     /// Whether the agent and its upstream are gone.
     pub gone: bool,
+    /// Whether the agent itself has stated so before it ended.
+    pub ended: bool,
 }
 
 /// Agents to which a packet of a searched flow is sent.
@@ -184,6 +193,7 @@
             flow,
             claim,
             since: now,
+            probed: None,
         };
         match self.find_redirect(&flow) {
             Ok(at) => {
@@ -198,6 +208,16 @@
         }
     }
 
+    /// Returns whether a packet is still to be sent to an owner that seems to be gone. Lost
+    /// heartbeats alone do not show that: it also has to leave a packet unanswered.
+    pub fn probe_owner(&mut self, flow: &Flow, now: Millis) -> bool {
+        let Ok(at) = self.find_redirect(flow) else {
+            return false;
+        };
+        let probed = *self.redirects[at].probed.get_or_insert(now);
+        now.since(probed) < SEARCH_INTERVAL
+    }
+
     /// Removes the owner of a flow.
     pub fn forget(&mut self, flow: &Flow) {
         if let Ok(at) = self.find_redirect(flow) {
@@ -220,6 +240,7 @@
                     return false;
                 }
                 search.last = now;
+                search.asked += 1;
             }
             Err(_) if self.searches.len() >= MAX_ENTRIES => return false,
             Err(at) => {
@@ -227,6 +248,7 @@
                 let search = Search {
                     flow,
                     last: now,
+                    asked: 1,
                     ack,
                     opened: opened.map(|at| self.redirects[at].since),
                     scope: scope.clone(),
@@ -479,9 +501,13 @@
         }
     }
 
+    /// Returns whether no candidate owns the flow. One that seems to be gone without a word has
+    /// to leave two packets unanswered as well.
     fn is_excluded_by_all(&self, candidates: &[Candidate]) -> bool {
+        let is_gone =
+            |candidate: &Candidate| candidate.gone && (candidate.ended || self.asked >= MIN_ASKED);
         let mut candidates = candidates.iter();
-        candidates.all(|candidate| candidate.gone || self.excludes(candidate))
+        candidates.all(|candidate| is_gone(candidate) || self.excludes(candidate))
     }
 
     /// Returns whether an agent may hand a packet to its upstream.
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -9,11 +9,13 @@
 //!
 //! [`domain_digest`]: crate::domain_digest
 
+mod contacts;
+
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, header::Hop, ident, member, store_watch};
+use crate::{clock::Millis, header::Hop, ident, member};
 
 /// Minimum heartbeat period of a node.
 pub const HEARTBEAT_PERIOD: Millis = Millis(400);
@@ -177,6 +179,13 @@
         self.entry.leaving && upstream.is_some_and(|upstream| upstream.state.is_some())
     }
 
+    /// Returns whether the agent has stated that it shuts down and that no upstream is running.
+    #[must_use]
+    pub fn has_ended(&self) -> bool {
+        let upstream = self.entry.upstream;
+        self.entry.leaving && upstream.is_some_and(|upstream| upstream.state.is_none())
+    }
+
     /// Returns whether an earlier run of the node was known.
     #[must_use]
     pub const fn has_restarted(&self) -> bool {
@@ -401,58 +410,6 @@
         self.revision += u64::from(changed);
     }
 
-    /// Returns whether this node receives no heartbeats although other nodes should be
-    /// sending them.
-    #[must_use]
-    pub fn is_isolated(&self, now: Millis) -> bool {
-        let limit = self.period().0.max(HEARTBEAT_PERIOD.0) * MISSED_HALF_PERIODS / 2;
-        let is_expected = |peer: &&Peer| peer.direct && !peer.entry.leaving;
-        let mut expected = self.rows.iter().filter(is_expected).peekable();
-        expected.peek().is_some() && expected.all(|peer| now.since(peer.heard).0 > limit)
-    }
-
-    /// Returns whether this balancer is one of those in its failure domain that watch the
-    /// platform: the first ones by rendezvous hashing, and the first ones among those that
-    /// can reach the platform.
-    #[must_use]
-    pub fn is_watcher(&self) -> bool {
-        let me = &self.me;
-        let others = || {
-            let entries = self.live_balancers().map(|peer| &peer.entry);
-            entries.filter(|other| other.domain == me.domain)
-        };
-        let reachable = others().filter(|other| !other.deaf);
-        store_watch::is_elected(me.node, others().map(|other| other.node))
-            || (!me.deaf && store_watch::is_elected(me.node, reachable.map(|other| other.node)))
-    }
-
-    /// Returns whether this node or a live balancer can reach the platform.
-    #[must_use]
-    pub fn is_platform_reachable(&self) -> bool {
-        !self.me.deaf || self.live_balancers().any(|peer| !peer.entry.deaf)
-    }
-
-    /// Returns whether this node receives heartbeats from no node that could introduce it
-    /// to others: for an agent a balancer, for a balancer any other node.
-    #[must_use]
-    pub fn lacks_contacts(&self) -> bool {
-        let is_contact = |peer: &&Peer| self.me.upstream.is_none() || peer.entry.upstream.is_none();
-        !self.rows.iter().filter(is_contact).any(is_live)
-    }
-
-    /// Returns whether any balancer has sent a heartbeat.
-    #[must_use]
-    pub fn hears_balancer(&self) -> bool {
-        let mut rows = self.rows.iter();
-        rows.any(|peer| peer.direct && peer.entry.upstream.is_none())
-    }
-
-    /// Returns the balancers that are alive and not shutting down, without this node.
-    pub fn live_balancers(&self) -> impl Iterator<Item = &Peer> {
-        let rows = self.rows.iter();
-        rows.filter(|peer| peer.entry.upstream.is_none() && is_live(peer))
-    }
-
     /// Returns a node by its identifier.
     #[must_use]
     pub fn find(&self, node: ident::NodeId) -> Option<&Peer> {
--- a/src/steering/announcements.rs
+++ b/src/steering/announcements.rs
@@ -13,6 +13,7 @@
     owner_cache::Claim,
     packet::Flow,
     protocol::{MAX_FLOWS, Message},
+    roster,
 };
 
 /// Number of agents to which an agent that shuts down hands what it knows of the flows of
@@ -115,6 +116,13 @@
         }
     }
 
+    /// Withdraws the announcements of all flows, because their upstream is gone.
+    pub fn withdraw_all(&mut self, context: &Context<'_>) {
+        let entries = self.entries.iter();
+        let withdrawals = entries.flat_map(|entry| announced_homes(context, entry));
+        self.withdrawals.extend(withdrawals);
+    }
+
     fn confirm_flow(&mut self, context: &mut Context<'_>, at: usize) {
         self.entries[at].announced = true;
         self.entries[at].homes = conntrack::Homes::default();
@@ -127,7 +135,7 @@
         let own = self.own_address;
         let agents = context.roster.ready_agents(own.service).into_iter();
         let others = agents.filter(|entry| entry.node != own.hop.node);
-        let mut hops: Vec<_> = others.filter_map(|entry| entry.hop()).collect();
+        let mut hops: Vec<_> = others.filter_map(roster::Entry::hop).collect();
         hops.sort_by_key(|hop| xxh3::xxh3_64_with_seed(&hop.node.0.to_le_bytes(), own.hop.node.0));
         hops.truncate(SUCCESSORS);
         hops
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -53,8 +53,11 @@
     }
 
     /// Starts tracking flows that another agent knows to be owned here, unless the upstream is
-    /// known not to have them.
+    /// known not to have them or all of its flows are tracked.
     pub fn adopt(&mut self, context: &Context<'_>, flows: &[OwnedFlow]) {
+        if context.tracking == Tracking::Complete {
+            return;
+        }
         let origin = context.roster.me().domain;
         let flows = flows.iter();
         for owned in flows.filter(|owned| !self.owners.is_absent(&owned.flow)) {
@@ -131,7 +134,10 @@
         let claim = self.owners.claim(&flow)?;
         let node = claim.owner.hop.node;
         let is_gone = context.roster.is_gone(node, context.now);
-        if is_gone && claim.confirmed && !segment.reset {
+        let is_lost = is_gone && claim.confirmed && !segment.reset;
+        let peer = context.roster.find(node);
+        let has_ended = peer.is_some_and(roster::Peer::has_ended);
+        if is_lost && (has_ended || !self.owners.probe_owner(&flow, context.now)) {
             let cause = ResetCause::Unowned(Some(node));
             return Some(if self.may_reset(context) {
                 Action::Reset(flow, segment.ack, cause)
@@ -139,7 +145,7 @@
                 Action::Drop(DropReason::Searched)
             });
         }
-        if is_gone || header.mode == Mode::Owner {
+        if (is_gone && !claim.confirmed) || header.mode == Mode::Owner {
             return None;
         }
         let mut header = header.clone();
@@ -152,7 +158,8 @@
         let Some(requester) = header.requester else {
             return Action::Drop(DropReason::Target);
         };
-        let claim = self.owners.claim(flow);
+        let is_other = |claim: &Claim| claim.owner.hop.node != requester.node;
+        let claim = self.owners.claim(flow).filter(is_other);
         if let Some(claim) = claim.filter(|claim| claim.confirmed) {
             return Action::ReplyOwner(requester, *flow, claim);
         }
@@ -296,6 +303,7 @@
                 incarnation: peer.entry.incarnation,
                 started: peer.started,
                 gone: context.roster.is_gone(peer.entry.node, context.now),
+                ended: peer.has_ended(),
             })
             .collect()
     }
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -7,12 +7,13 @@
 use cassiacross::{
     clock::Millis,
     config_transfer,
-    ident::ServiceId,
+    ident::{self, ServiceId},
     member, peer_sync,
     protocol::{self, Message},
     record, roster, routing,
 };
 use node_network::{Network, SERVICE, addr};
+use yare::parameterized;
 
 fn entry(node: u16, service: Option<ServiceId>) -> roster::Entry {
     node_network::entry(node, 1, service)
@@ -159,3 +160,92 @@
     node.apply_config(config(4));
     assert!(!node.polling(Millis(1_200)).config);
 }
+
+/// Restarts a node with a lower incarnation than before, as after a clock that was set back.
+fn restart_behind(network: &mut Network, at: usize) {
+    let mut me = network.nodes[at].roster().me().clone();
+    me.incarnation = ident::Incarnation(1);
+    me.change = 0;
+    me.leaving = false;
+    let now = network.now;
+    network.nodes[at] = peer_sync::PeerSync::new(me, vec![addr(1)], 9, now);
+}
+
+// Guards against a node that stays unknown to its peers after its clock was set back between two
+// starts: whichever kind of node is left to tell it.
+#[parameterized(
+    agent_known_to_all = { 3, &[] },
+    agent_known_to_a_balancer = { 3, &[2, 3, 12] },
+    balancer_known_to_an_agent = { 1, &[1, 3, 12] },
+)]
+fn node_that_restarts_with_an_earlier_incarnation_is_known_again(at: usize, cut: &[u16]) {
+    let mut network = network();
+    network.nodes[at].update_self(|me| me.incarnation = ident::Incarnation(900_000));
+    network.run_until(Millis(2_000));
+    network.nodes[at].update_self(|me| me.leaving = true);
+    while network.deliver() {}
+    network.partitioned = cut.iter().map(|node| addr(*node)).collect();
+    restart_behind(&mut network, at);
+    let seeds = [1, 2, 11].map(addr).to_vec();
+    network.nodes[at].set_platform_addresses(seeds);
+    network.run_until(Millis(4_000));
+    network.partitioned.clear();
+    network.run_until(Millis(8_000));
+    let restarted = network.nodes[at].roster().me().clone();
+    assert!(restarted.incarnation > ident::Incarnation(900_000));
+    for (other, node) in network.nodes.iter().enumerate() {
+        if other != at {
+            let peer = node.roster().find(restarted.node).unwrap();
+            assert_eq!(peer.entry.incarnation, restarted.incarnation);
+            assert!(!peer.silent && !peer.entry.leaving);
+        }
+    }
+}
+
+// Guards against two processes at one address that raise their incarnations in turn: a late
+// message of the one that has ended changes nothing.
+#[test]
+fn late_heartbeat_of_an_ended_process_does_not_change_the_incarnation() {
+    let mut network = network();
+    network.run_until(Millis(1_000));
+    let ended = network.nodes[3].roster().me().clone();
+    network.nodes[3].update_self(|me| me.incarnation = ident::Incarnation(900_000));
+    network.run_until(Millis(2_000));
+    for at in [0, 1, 2, 4] {
+        let heartbeat = protocol::Heartbeat {
+            entry: ended.clone(),
+            period: roster::HEARTBEAT_PERIOD,
+            config: 0,
+        };
+        let now = network.now;
+        network.nodes[at].receive(ended.control, Message::Beat(heartbeat), now);
+    }
+    network.run_until(Millis(4_000));
+    let run = network.nodes[3].roster().me().incarnation;
+    assert_eq!(run, ident::Incarnation(900_000));
+}
+
+// Guards against resets of open flows of a service that a route has left, by a balancer that
+// started after the change.
+#[test]
+fn restarted_balancer_learns_the_former_services_of_routes() {
+    let mut network = network();
+    network.run_until(Millis(500));
+    let mut before = config(5);
+    for route in &mut before.routes {
+        route.targets[0].service = ServiceId(8);
+    }
+    network.nodes[0].apply_config(before);
+    network.run_until(Millis(2_500));
+    network.nodes[0].apply_config(config(6));
+    network.run_until(Millis(4_500));
+    restart_behind(&mut network, 1);
+    network.nodes[1].apply_config(config(6));
+    assert!(!network.nodes[1].knows_services(network.now));
+    network.run_until(Millis(7_000));
+    assert!(network.nodes[1].knows_services(network.now));
+    let config = network.nodes[1].config().unwrap();
+    for route in &config.routes {
+        assert_eq!(route.former, [ServiceId(8)]);
+    }
+}
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -543,6 +543,35 @@
     );
 }
 
+// Guards against a reset of an open flow whose agent is alive, but whose heartbeats were lost.
+#[test]
+fn flow_of_a_silent_owner_is_reset_only_after_an_unanswered_packet() {
+    let mut agent = Agent::new(&[2, 3, 4]);
+    agent
+        .flows
+        .learn_owners(service_hop(2), &[flow(4_000)], true, Millis(0));
+    let mut now = Millis(0);
+    while now < AFTER_SETTLING {
+        now = now + Millis(100);
+        for other in [
+            entry(3, Some(member::State::Ready)),
+            entry(4, Some(member::State::Ready)),
+            balancer(),
+        ] {
+            agent
+                .roster
+                .merge(&other, roster::HEARTBEAT_PERIOD, true, now);
+        }
+        agent.roster.tick(now);
+    }
+    assert!(agent.roster.is_gone(NodeId(2), now));
+    let action = agent.inbound(header(&[1]), &data(4_000, 9), now);
+    assert_eq!(next_hop(&action), Some(2));
+    let action = agent.inbound(header(&[1]), &data(4_000, 9), now + Millis(200));
+    let cause = ResetCause::Unowned(Some(NodeId(2)));
+    assert_eq!(action, Action::Reset(flow(4_000), 9, cause));
+}
+
 // Guards against a search of the whole service, and against a wait for agents that do not know
 // their flows, when the known owner is lost.
 #[test]
@@ -1042,6 +1071,8 @@
     }
     assert_eq!(asked(&action), [2, 3, 4]);
     let settled = now + AFTER_SETTLING;
+    let again = agent.inbound(header(&[1]), &data(4_000, 9), settled);
+    assert_eq!(asked(&again), [2, 3, 4]);
     let live = entry(3, Some(member::State::Ready));
     agent
         .roster
