Evacuate failure domains, and limit the new flows of cold upstreams

Agents of an evacuated domain leave the candidate chains and pass new flows on; open flows stay. If all domains are evacuated, callers are refused at once. A token bucket at the agent limits the new flows of an upstream that warms up, where the configuration states a rate; after an evacuation the upstream counts as cold until its next report.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -10,8 +10,9 @@
 use serde::Serialize;
 
 use crate::{
-    chains, clock::Millis, conntrack, flow_recovery, header, ident, member, pacer, packet::Flow,
-    peer_sync, polling, protocol, roster, segment, status, steering, telemetry, transport,
+    chains, clock::Millis, conntrack, evacuation, flow_recovery, header, ident, member, pacer,
+    packet::Flow, peer_sync, polling, protocol, roster, segment, slow_start, status, steering,
+    telemetry, transport,
 };
 
 /// Time after the start of the agent after which no untracked flow is left: a flow
@@ -49,6 +50,9 @@
     pub grace: Millis,
     /// Rate of the host's link in Mbit/s.
     pub link_mbps: f64,
+    /// Tolerance of the limit on new flows while the upstream warms up; without one, there is
+    /// no limit.
+    pub slow_start: Option<slow_start::Tolerance>,
 }
 
 /// What an agent sends or does in reply to an input.
@@ -71,6 +75,8 @@
 struct Dump<'a> {
     now: Millis,
     recovery: &'a flow_recovery::Recovery,
+    slow_start: &'a slow_start::SlowStart,
+    evacuations: &'a evacuation::Evacuations,
     leaving: bool,
     status: &'a status::Status,
     busy: u32,
@@ -103,6 +109,9 @@
     /// Roster revision from which the chains were built.
     chains_revision: Option<u64>,
     recovery: flow_recovery::Recovery,
+    slow_start: slow_start::SlowStart,
+    /// Whether the own failure domain was evacuated at the last input.
+    evacuated: bool,
     leaving: bool,
     /// Number of times that the shutdown has been announced.
     farewells: u32,
@@ -167,6 +176,8 @@
             status: status::Status::new(service, settings.report_period),
             flows: steering::Flows::new(own_address),
             recovery: flow_recovery::Recovery::new(settings.first_start),
+            slow_start: slow_start::SlowStart::new(settings.slow_start),
+            evacuated: false,
             leaving: false,
             farewells: 0,
             telemetry,
@@ -294,9 +305,14 @@
         self.now = now;
         let was_followed = self.status.is_followed();
         let (state, slots, seq) = (report.state, report.slots, report.seq);
+        let cold_until = now + report.cold;
         let age = wall.since(report.born);
         let id = report.id.clone();
-        match self.status.apply(report, now) {
+        let effect = self.status.apply(report, now);
+        if matches!(effect, status::Effect::NewRun | status::Effect::Updated) {
+            self.slow_start.set_cold_until(cold_until, now);
+        }
+        match effect {
             status::Effect::NewRun => {
                 info!(
                     upstream = id, slots = slots, state:? = state, seq = seq, age_ms = age.0;
@@ -355,6 +371,9 @@
             self.say_farewell();
         }
         self.recover_flows();
+        let config = self.peers.config();
+        let rate = config.and_then(|config| config.cold_rate(self.service));
+        self.slow_start.set_rate(rate);
         self.update_entry();
         let mut actions = Vec::new();
         self.decide(|flows, context| flows.tick(context, &mut actions));
@@ -372,6 +391,8 @@
         let dump = Dump {
             now,
             recovery: &self.recovery,
+            slow_start: &self.slow_start,
+            evacuations: self.peers.evacuations(),
             leaving: self.leaving,
             status: &self.status,
             busy: load.busy(),
@@ -474,11 +495,26 @@
     /// Returns whether the upstream accepts new flows.
     fn accepts_flows(&self) -> bool {
         let upstream = self.peers.roster().me().upstream;
-        !self.leaving && upstream.is_some_and(|up| up.state == Some(member::State::Ready))
+        !self.leaving
+            && !self.evacuated
+            && upstream.is_some_and(|up| up.state == Some(member::State::Ready))
+    }
+
+    /// Follows the evacuation of the own failure domain. When it ends, the upstream counts as
+    /// cold until its next report: it may have cooled down meanwhile.
+    fn follow_evacuation(&mut self) {
+        let roster = self.peers.roster();
+        let evacuated = roster.is_evacuated(roster.me().domain);
+        if self.evacuated && !evacuated {
+            let until = self.now + self.settings.report_period + self.settings.report_period;
+            self.slow_start.set_cold_until(until, self.now);
+        }
+        self.evacuated = evacuated;
     }
 
     /// Rebuilds the candidate chains if the roster has changed.
     fn refresh_chains(&mut self) {
+        self.follow_evacuation();
         let roster = self.peers.roster();
         if self.chains_revision != Some(roster.revision()) {
             self.chains_revision = Some(roster.revision());
@@ -497,6 +533,7 @@
         let mut context = steering::Context {
             accepts: self.accepts_flows(),
             tracking: self.recovery.tracking(),
+            slow_start: &mut self.slow_start,
             chains: &mut self.chains,
             roster: self.peers.roster(),
             seed: self.hash_seed,
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -18,7 +18,8 @@
 };
 
 use crate::{
-    clock, pacer, peer_sync, polling, roster, routing, segment, socket, telemetry, transport,
+    clock, evacuation, pacer, peer_sync, polling, roster, routing, segment, socket, telemetry,
+    transport,
 };
 
 /// Fifths of the grace period for which a process keeps running after the request to shut
@@ -55,6 +56,8 @@
 pub enum Event {
     /// Configuration read from the platform.
     Config(routing::Config),
+    /// Evacuations read from the platform.
+    Evacuations(evacuation::Evacuations),
     /// Message addresses of the balancers that are registered on the platform.
     Peers(Vec<SocketAddrV4>),
     /// Whether the last call to the platform succeeded.
@@ -74,6 +77,7 @@
     hears_platform: bool,
     roster: &'a roster::Roster,
     config: Option<&'a routing::Config>,
+    evacuations: &'a evacuation::Evacuations,
     /// Time that the waiting datagrams take up the link.
     link_delay_ms: clock::Millis,
     /// Number of datagrams that were not sent.
@@ -200,6 +204,7 @@
             Event::Config(config) => {
                 self.peers.apply_config(config);
             }
+            Event::Evacuations(read) => self.peers.apply_evacuations(read),
             Event::Peers(addresses) => self.peers.set_platform_addresses(addresses),
             Event::Platform(answers) => self.record_reachability(answers),
             Event::Dump(to) => {
@@ -226,6 +231,7 @@
             hears_platform: self.peers.roster().is_platform_reachable(),
             roster: self.peers.roster(),
             config: self.peers.config(),
+            evacuations: self.peers.evacuations(),
             link_delay_ms: self.transport.link_delay(),
             unsent: self.transport.unsent(),
         };
@@ -279,8 +285,12 @@
                 }
                 Err(refusal) => {
                     let flow = segment.inbound();
-                    let reset_sent =
-                        refusal == routing::Refusal::NoRoute && is_reachable && !segment.reset;
+                    let is_known = match refusal {
+                        routing::Refusal::NoRoute => is_reachable,
+                        routing::Refusal::Evacuated => true,
+                        routing::Refusal::NoConfig | routing::Refusal::NoAgents => false,
+                    };
+                    let reset_sent = is_known && !segment.reset;
                     if reset_sent {
                         let reset = (codec.reset)(&flow, segment.ack);
                         let caller = SocketAddrV4::new(*flow.caller.ip(), *caller_port);
--- a/src/domain_digest.rs
+++ b/src/domain_digest.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use crate::{clock::Millis, ident, roster};
+use crate::{clock::Millis, evacuation, ident, roster};
 
 /// Number of balancers of a failure domain that report to one node of another domain, so
 /// that the loss of one is not noticed there.
@@ -39,6 +39,9 @@
     pub groups: Vec<Group>,
     /// Nodes of the domain whose heartbeats are missing.
     pub missing: Vec<ident::NodeId>,
+    /// Evacuations that the reporter knows. Left out as long as none was read.
+    #[serde(default, skip_serializing_if = "evacuation::Evacuations::is_unknown")]
+    pub evacuations: evacuation::Evacuations,
 }
 
 /// Digest of the balancers of a domain, or of its agents of one service.
@@ -78,6 +81,7 @@
                 .map(|peer| peer.entry.node)
                 .take(MAX_MISSING)
                 .collect(),
+            evacuations: evacuation::Evacuations::default(),
         }
     }
 
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -16,7 +16,7 @@
     clock::Millis,
     config_transfer,
     domain_digest::{self, must_know_each_other},
-    former_services, ident, polling,
+    evacuation, former_services, ident, polling,
     protocol::{Heartbeat, MAX_ENTRIES, Message},
     roster, routing,
 };
@@ -87,6 +87,7 @@
     behind_since: Option<Millis>,
     newest_version: u64,
     history: former_services::History,
+    evacuations: evacuation::View,
     rng: rngs::SmallRng,
     outbox: Vec<(SocketAddrV4, Message)>,
 }
@@ -113,6 +114,7 @@
             behind_since: None,
             newest_version: 0,
             history: former_services::History::default(),
+            evacuations: evacuation::View::default(),
             rng: rngs::SmallRng::seed_from_u64(seed),
             outbox: Vec::new(),
         }
@@ -153,6 +155,39 @@
         self.send_heartbeats(Scope::All);
     }
 
+    /// Returns the evacuations in force.
+    #[must_use]
+    pub const fn evacuations(&self) -> &evacuation::Evacuations {
+        self.evacuations.active()
+    }
+
+    /// Records the evacuations that were read from the platform, and tells the other nodes at
+    /// once if they have changed.
+    pub fn apply_evacuations(&mut self, read: evacuation::Evacuations) {
+        let changed = self.evacuations.record_read(read);
+        self.activate_evacuations(changed);
+        if changed {
+            self.send_heartbeats(Scope::All);
+        }
+    }
+
+    fn merge_evacuations(&mut self, other: &evacuation::Evacuations) {
+        let changed = self.evacuations.merge(other);
+        self.activate_evacuations(changed);
+    }
+
+    fn activate_evacuations(&mut self, changed: bool) {
+        let active = self.evacuations.active();
+        self.roster.set_evacuated(&active.domains);
+        if changed {
+            info!(
+                version = active.version, domains:? = active.domains;
+                "evacuated failure domains changed"
+            );
+            self.send_heartbeats(Scope::Domain);
+        }
+    }
+
     /// Sets the balancer addresses that are registered on the platform; the next tick
     /// contacts them.
     pub fn set_platform_addresses(&mut self, addresses: Vec<SocketAddrV4>) {
@@ -258,6 +293,7 @@
     /// Merges the entry of the sender. If it is new, it gets a heartbeat, and the entries of
     /// known nodes unless it knows the fleet already.
     fn receive_heartbeat(&mut self, heartbeat: &Heartbeat, now: Millis) {
+        self.merge_evacuations(&heartbeat.evacuations);
         let period = self.expected_period(heartbeat);
         let merge = self.roster.merge(&heartbeat.entry, period, true, now);
         let node = heartbeat.entry.node;
@@ -394,9 +430,12 @@
     /// which it reports.
     fn send_digests(&mut self, now: Millis) {
         let reports = domain_digest::reports(&self.roster, self.config_version(), now);
-        let messages = reports.into_iter();
-        self.outbox
-            .extend(messages.map(|(to, digest)| (to, Message::Digest(digest))));
+        let evacuations = self.evacuations.active();
+        let messages = reports.into_iter().map(|(to, mut digest)| {
+            digest.evacuations = evacuations.clone();
+            (to, Message::Digest(digest))
+        });
+        self.outbox.extend(messages);
     }
 
     /// Applies the digest of another failure domain, and requests the entries of the groups
@@ -405,6 +444,7 @@
         if digest.domain == self.roster.me().domain {
             return;
         }
+        self.merge_evacuations(&digest.evacuations);
         let differing = digest.apply(&mut self.roster, now);
         self.roster.record_config(digest.reporter, digest.config);
         self.newest_version = self.newest_version.max(digest.config);
@@ -498,6 +538,7 @@
             entry: self.roster.me().clone(),
             period,
             config: self.config_version(),
+            evacuations: self.evacuations.active().clone(),
         })
     }
 }
--- a/src/platform_sync.rs
+++ b/src/platform_sync.rs
@@ -15,6 +15,8 @@
     backoff,
     balancer_loop::Event,
     clock::Millis,
+    evacuation::Evacuations,
+    ident::DomainId,
     platform::{Consistency, Error, Position},
     polling::{Addresses, Polling},
     routing,
@@ -40,6 +42,15 @@
     pub config: Option<routing::Config>,
 }
 
+/// Evacuations that were requested or withdrawn up to one point in the platform's history.
+#[derive(Debug)]
+pub struct Changes {
+    /// Position in the platform's history.
+    pub position: Position,
+    /// Failure domains, each with whether its evacuation is requested, oldest change first.
+    pub domains: Vec<(DomainId, bool)>,
+}
+
 /// Platform calls, implemented by the platform adapter.
 pub trait PlatformClient {
     /// Reads the configuration.
@@ -52,6 +63,16 @@
         limit: Millis,
     ) -> impl Future<Output = Result<Snapshot, Error>>;
 
+    /// Reads the evacuations.
+    fn read_evacuations(&self) -> impl Future<Output = Result<Changes, Error>>;
+
+    /// Waits up to `limit` for a change of the evacuations after a position.
+    fn watch_evacuations(
+        &self,
+        after: Position,
+        limit: Millis,
+    ) -> impl Future<Output = Result<Changes, Error>>;
+
     /// Returns a receiver of the platform's era, which is notified when a response to any call
     /// of this process shows that the platform was restored from a backup.
     fn era(&self) -> watch::Receiver<Option<u64>>;
@@ -73,11 +94,124 @@
 
 /// Watches the configuration while `polling` asks for it and sends each version to the
 /// event loop. Ends when the event loop has ended.
+pub async fn follow_config(
+    client: &impl PlatformClient,
+    seed: u64,
+    events: mpsc::Sender<Event>,
+    polling: watch::Receiver<Polling>,
+) {
+    let feed = ConfigFeed { client };
+    follow(feed, seed, events, polling).await;
+}
+
+/// Watches the evacuations like the configuration.
+pub async fn follow_evacuations(
+    client: &impl PlatformClient,
+    seed: u64,
+    events: mpsc::Sender<Event>,
+    polling: watch::Receiver<Polling>,
+) {
+    let feed = EvacuationFeed {
+        client,
+        domains: Vec::new(),
+    };
+    follow(feed, seed, events, polling).await;
+}
+
+/// State that is read from the platform once and then watched.
+trait Feed {
+    /// Reads the whole state. Returns the position and the resulting events.
+    async fn read(&mut self) -> Result<(Position, Vec<Event>), Error>;
+
+    /// Waits up to `limit` for changes after a position.
+    async fn watch(
+        &mut self,
+        after: Position,
+        limit: Millis,
+    ) -> Result<(Position, Vec<Event>), Error>;
+
+    /// Returns the event of a failed call.
+    fn failure(&self) -> Option<Event>;
+}
+
+/// The configuration, whose calls also show whether the platform is reachable.
+struct ConfigFeed<'a, C> {
+    client: &'a C,
+}
+
+/// The evacuated failure domains.
+struct EvacuationFeed<'a, C> {
+    client: &'a C,
+    domains: Vec<DomainId>,
+}
+
+impl<C: PlatformClient> Feed for ConfigFeed<'_, C> {
+    async fn read(&mut self) -> Result<(Position, Vec<Event>), Error> {
+        let snapshot = self.client.read_config().await?;
+        Ok((snapshot.position, config_events(snapshot)))
+    }
+
+    async fn watch(
+        &mut self,
+        after: Position,
+        limit: Millis,
+    ) -> Result<(Position, Vec<Event>), Error> {
+        let snapshot = self.client.watch_config(after, limit).await?;
+        Ok((snapshot.position, config_events(snapshot)))
+    }
+
+    fn failure(&self) -> Option<Event> {
+        Some(Event::Platform(false))
+    }
+}
+
+impl<C: PlatformClient> Feed for EvacuationFeed<'_, C> {
+    async fn read(&mut self) -> Result<(Position, Vec<Event>), Error> {
+        let changes = self.client.read_evacuations().await?;
+        self.domains.clear();
+        Ok((changes.position, self.apply(changes)))
+    }
+
+    async fn watch(
+        &mut self,
+        after: Position,
+        limit: Millis,
+    ) -> Result<(Position, Vec<Event>), Error> {
+        let changes = self.client.watch_evacuations(after, limit).await?;
+        Ok((changes.position, self.apply(changes)))
+    }
+
+    fn failure(&self) -> Option<Event> {
+        None
+    }
+}
+
+impl<C> EvacuationFeed<'_, C> {
+    fn apply(&mut self, changes: Changes) -> Vec<Event> {
+        for (domain, requested) in changes.domains {
+            self.domains.retain(|other| *other != domain);
+            if requested {
+                self.domains.push(domain);
+            }
+        }
+        let read = Evacuations::at(changes.position, self.domains.clone());
+        vec![Event::Evacuations(read)]
+    }
+}
+
+fn config_events(snapshot: Snapshot) -> Vec<Event> {
+    let config = snapshot.config.map(Event::Config);
+    std::iter::once(Event::Platform(true))
+        .chain(config)
+        .collect()
+}
+
+/// Watches a feed while `polling` asks for the configuration.
 ///
 /// The first watch after a pause does not wait, because the platform may have been restored
 /// from a backup meanwhile, which only its response shows.
-pub async fn follow_config(
-    client: &impl PlatformClient,
+async fn follow(
+    mut feed: impl Feed,
     seed: u64,
     events: mpsc::Sender<Event>,
     mut polling: watch::Receiver<Polling>,
@@ -92,14 +226,14 @@
         }
         let limit = if has_paused { Millis(0) } else { WATCH_TIMEOUT };
         let result = match after {
-            None => client.read_config().await,
-            Some(position) => client.watch_config(position, limit).await,
+            None => feed.read().await,
+            Some(position) => feed.watch(position, limit).await,
         };
         let sent = match result {
-            Ok(snapshot) => {
+            Ok((position, changes)) => {
                 backoff.reset(u32::MAX);
-                let is_first = after.replace(snapshot.position).is_none();
-                let sent = send_snapshot(snapshot, &events).await;
+                let is_first = after.replace(position).is_none();
+                let sent = send_all(changes, &events).await;
                 has_paused = is_first;
                 if is_first {
                     time::sleep(CONTACT_TIMEOUT.to_duration()).await;
@@ -107,15 +241,15 @@
                 sent
             }
             Err(error @ (Error::Compacted | Error::Restored { .. })) => {
-                debug!(error:% = error; "cannot continue the watch; reading the configuration again");
+                debug!(error:% = error; "cannot continue the watch; reading again");
                 after = None;
                 Ok(())
             }
             Err(error) => {
                 after = None;
-                let sent = events.send(Event::Platform(false)).await;
+                let sent = send_all(feed.failure().into_iter().collect(), &events).await;
                 let wait = backoff.next_delay().unwrap_or(backoff::MAX_DELAY);
-                warn!(wait_ms = wait.0, error:% = error; "cannot read configuration; retrying");
+                warn!(wait_ms = wait.0, error:% = error; "cannot read from the platform; retrying");
                 time::sleep(wait.to_duration()).await;
                 sent
             }
@@ -126,17 +260,14 @@
     }
 }
 
-/// Reports the platform as reachable and sends the configuration, if any, to the event
-/// loop.
-async fn send_snapshot(
-    snapshot: Snapshot,
+async fn send_all(
+    changes: Vec<Event>,
     events: &mpsc::Sender<Event>,
 ) -> Result<(), mpsc::error::SendError<Event>> {
-    events.send(Event::Platform(true)).await?;
-    match snapshot.config {
-        Some(config) => events.send(Event::Config(config)).await,
-        None => Ok(()),
+    for change in changes {
+        events.send(change).await?;
     }
+    Ok(())
 }
 
 /// Registers a balancer's own address, and again whenever the platform was restored from a
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::Millis,
-    config_transfer, domain_digest, flow_recovery, former_services,
+    config_transfer, domain_digest, evacuation, flow_recovery, former_services,
     header::{self, Hop},
     ident,
     packet::Flow,
@@ -160,6 +160,9 @@
     pub period: Millis,
     /// Version of the sender's configuration, 0 for none.
     pub config: u64,
+    /// Evacuations that the sender knows. Left out as long as none was read.
+    #[serde(default, skip_serializing_if = "evacuation::Evacuations::is_unknown")]
+    pub evacuations: evacuation::Evacuations,
 }
 
 /// Message between nodes.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -59,13 +59,28 @@
     pub version: u64,
     /// Routes, sorted by address.
     pub routes: Vec<Route>,
+    /// Limits of services, sorted by service.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<ServiceLimit>,
 }
 
+/// Limit of the upstreams of one service.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ServiceLimit {
+    /// The service.
+    pub service: ServiceId,
+    /// New flows per second that an upstream takes while it warms up.
+    pub cold_rate: f64,
+}
+
+impl Eq for ServiceLimit {}
+
 impl Config {
     /// Sorts the routes and adds the former services of the previous configuration, to
     /// which packets of open flows may still belong.
     #[must_use]
     pub fn inherit(mut self, previous: Option<&Self>) -> Self {
+        self.limits.sort_by_key(|limit| limit.service);
         self.routes.sort_by_key(|route| route.address);
         self.routes.dedup_by_key(|route| route.address);
         let Some(previous) = previous else {
@@ -118,6 +133,16 @@
         changed
     }
 
+    /// Returns the number of new flows per second that an upstream of a service takes while it
+    /// warms up, if the operator has limited it.
+    #[must_use]
+    pub fn cold_rate(&self, service: ServiceId) -> Option<f64> {
+        let found = self
+            .limits
+            .binary_search_by_key(&service, |limit| limit.service);
+        found.ok().map(|at| self.limits[at].cold_rate)
+    }
+
     /// Returns the route of an address.
     #[must_use]
     pub fn find(&self, address: SocketAddrV4) -> Option<&Route> {
@@ -193,6 +218,9 @@
     NoRoute,
     /// The route has no target service with agents.
     NoAgents,
+    /// All agents of the route's service that accept new flows are in evacuated failure
+    /// domains.
+    Evacuated,
 }
 
 impl Refusal {
@@ -203,6 +231,7 @@
             Self::NoConfig => "drop_unconfigured",
             Self::NoRoute => "refuse_route",
             Self::NoAgents => "drop_no_agents",
+            Self::Evacuated => "refuse_evacuated",
         }
     }
 }
@@ -256,6 +285,9 @@
     let origin = roster.me().domain;
     let mut scope = protocol::Scope::default();
     let (hops, age) = if segment.syn {
+        if roster.is_all_evacuated(picked) {
+            return Err(Refusal::Evacuated);
+        }
         let copy = usize::try_from(segment.ack).unwrap_or(usize::MAX);
         let hops = syn_hops(tables.chains(picked, roster), origin, hash, copy);
         (hops, COPY_AGES[copy.min(COPY_AGES.len() - 1)])
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -32,6 +32,7 @@
     protocol::{Header, Mode, Reply, ServiceHop},
     roster,
     segment::Segment,
+    slow_start,
 };
 
 /// Lower bound of the time without a packet on any flow with an outstanding request after
@@ -49,6 +50,8 @@
     pub chains: &'a mut chains::Chains,
     /// Known nodes.
     pub roster: &'a roster::Roster,
+    /// Limit on new flows while the upstream warms up.
+    pub slow_start: &'a mut slow_start::SlowStart,
     /// Seed of the flow hash.
     pub seed: u64,
     /// Current time.
--- a/src/steering/opening.rs
+++ b/src/steering/opening.rs
@@ -34,7 +34,8 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
-        let accepts = context.accepts && !self.failure.is_suspected();
+        let is_warm = context.slow_start.may_accept(context.now);
+        let accepts = context.accepts && is_warm && !self.failure.is_suspected();
         let expected = self.expected_requests(context.now);
         if accepts && self.load.has_free_slot(expected) {
             return self.accept_flow(context, header, segment, bytes);
@@ -48,6 +49,9 @@
             return to_next_hop(header);
         }
         match header.best.take() {
+            None if context.roster.is_all_evacuated(self.own_address.service) => {
+                Action::Reset(flow, 0, ResetCause::Refused)
+            }
             None => Action::Drop(DropReason::Full),
             Some(best) if best.wait > header.max_wait => {
                 Action::Reset(flow, 0, ResetCause::Refused)
@@ -68,6 +72,7 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
+        context.slow_start.record_accepted(context.now);
         let entry = conntrack::Entry::new(flow, header.origin, context.now);
         let at = match self.find(&flow) {
             Ok(at) => {
--- a/tests/domain_digest.rs
+++ b/tests/domain_digest.rs
@@ -221,6 +221,7 @@
         entry: old.clone(),
         period: roster::HEARTBEAT_PERIOD,
         config: 0,
+        evacuations: cassiacross::evacuation::Evacuations::default(),
     });
     let mut sync = peer_sync::PeerSync::new(entry(1, 1, None), Vec::new(), 1, Millis(0));
     let mut sent = Vec::new();
@@ -308,6 +309,7 @@
     network.nodes[source].apply_config(cassiacross::routing::Config {
         version: 9,
         routes: Vec::new(),
+        limits: Vec::new(),
     });
     network.run_until(SETTLED + Millis(2_000));
     let versions: Vec<_> = network
--- a/tests/flow_model.rs
+++ b/tests/flow_model.rs
@@ -143,6 +143,7 @@
         first_start,
         grace: Millis(6_000),
         link_mbps: 1_000.0,
+        slow_start: None,
     }
 }
 
@@ -159,6 +160,7 @@
             class: cassiacross::record::Class::Normal,
             target: Millis(400),
         }],
+        limits: Vec::new(),
     }
 }
 
--- a/tests/load_model/fleet.rs
+++ b/tests/load_model/fleet.rs
@@ -114,6 +114,7 @@
     routing::Config {
         version: 1,
         routes: routes.collect(),
+        limits: Vec::new(),
     }
 }
 
@@ -326,6 +327,7 @@
         let mut context = steering::Context {
             accepts: true,
             tracking: flow_recovery::Tracking::Complete,
+            slow_start: &mut cassiacross::slow_start::SlowStart::new(None),
             chains: self.tables.chains(SERVICE, &self.roster),
             roster: &self.roster,
             seed: SEED,
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -33,6 +33,7 @@
     routing::Config {
         version,
         routes: (0..200).map(route).collect(),
+        limits: Vec::new(),
     }
 }
 
@@ -149,6 +150,7 @@
             entry: peer,
             period: roster::HEARTBEAT_PERIOD,
             config: 4,
+            evacuations: cassiacross::evacuation::Evacuations::default(),
         };
         node.receive(addr(2), Message::Beat(heartbeat), Millis(0));
     }
@@ -216,6 +218,7 @@
             entry: ended.clone(),
             period: roster::HEARTBEAT_PERIOD,
             config: 0,
+            evacuations: cassiacross::evacuation::Evacuations::default(),
         };
         let now = network.now;
         network.nodes[at].receive(ended.control, Message::Beat(heartbeat), now);
--- a/tests/platform_sync.rs
+++ b/tests/platform_sync.rs
@@ -9,8 +9,9 @@
 use cassiacross::{
     balancer_loop::Event,
     clock::Millis,
+    ident::DomainId,
     platform::{Consistency, Error, Position},
-    platform_sync::{self, PlatformClient, Snapshot},
+    platform_sync::{self, Changes, PlatformClient, Snapshot},
     polling::{self, Addresses, Polling},
 };
 use tokio::{
@@ -55,6 +56,16 @@
         self.answer(call, unchanged(after.revision + 1))
     }
 
+    async fn read_evacuations(&self) -> Result<Changes, Error> {
+        self.answer("evacuations".to_owned(), requested(7, true))
+    }
+
+    async fn watch_evacuations(&self, after: Position, limit: Millis) -> Result<Changes, Error> {
+        time::sleep(limit.to_duration()).await;
+        let call = format!("evacuations after {}", after.revision);
+        self.answer(call, requested(after.revision + 1, false))
+    }
+
     fn era(&self) -> watch::Receiver<Option<u64>> {
         self.era.subscribe()
     }
@@ -68,6 +79,14 @@
     }
 }
 
+/// Returns the request or withdrawal of one evacuation.
+fn requested(revision: u64, requested: bool) -> Changes {
+    Changes {
+        position: Position { era: 0, revision },
+        domains: vec![(DomainId(2), requested)],
+    }
+}
+
 /// Returns a response without a change of the configuration.
 const fn unchanged(revision: u64) -> Snapshot {
     Snapshot {
@@ -228,3 +247,28 @@
     assert_eq!(platform.count("peers Stale"), 1);
     assert!(platform.count("peers Strong") >= 20);
 }
+
+// Guards against an evacuation that stays in force after it was withdrawn.
+#[tokio::test(start_paused = true)]
+async fn evacuations_are_read_once_and_then_watched() {
+    let platform = Platform::default();
+    let (_sender, polling) = watch::channel(polling(true, Addresses::Idle));
+    let (events, mut received) = mpsc::channel(16);
+    let follow = platform_sync::follow_evacuations(&platform, 1, events, polling);
+    let receive = async {
+        let mut domains = Vec::new();
+        while let Some(Event::Evacuations(read)) = received.recv().await {
+            domains.push(read.domains.len());
+            if domains.len() == 2 {
+                break;
+            }
+        }
+        domains
+    };
+    let domains = tokio::select! {
+        () = follow => Vec::new(),
+        domains = receive => domains,
+    };
+    assert_eq!(domains, [1, 0]);
+    assert_eq!(platform.count("evacuations after 7"), 1);
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -65,6 +65,7 @@
             class: record::Class::Normal,
             target: Millis(200),
         }],
+        limits: Vec::new(),
     }
 }
 
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -14,6 +14,7 @@
     protocol::{self, Header, Message, Mode, Reply, ServiceHop},
     roster,
     segment::Segment,
+    slow_start,
     steering::{self, Action, DropReason, ResetCause},
 };
 use yare::parameterized;
@@ -71,6 +72,7 @@
     roster: roster::Roster,
     accepts: bool,
     tracking: Tracking,
+    slow_start: slow_start::SlowStart,
 }
 
 impl Agent {
@@ -93,6 +95,7 @@
             roster,
             accepts: true,
             tracking: Tracking::Complete,
+            slow_start: slow_start::SlowStart::new(None),
         }
     }
 
@@ -107,6 +110,7 @@
             tracking: self.tracking,
             chains: &mut chains,
             roster: &self.roster,
+            slow_start: &mut self.slow_start,
             seed: SEED,
             now,
         };
