--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -28,7 +28,7 @@
 const WITNESS_AGE: Millis = Millis(6_000);
 
 /// Time by which an upstream may start before its agent on a host that gets power again.
-const START_MARGIN: Millis = Millis(100);
+const START_MARGIN: Millis = Millis(250);
 
 /// Number of agents of the service that may have crashed without a loss of flows, as each
 /// flow that stays open is known to two agents besides its owner.
@@ -36,7 +36,7 @@
 
 /// Largest number of the report with which an upstream that has just started may reach its
 /// agent for the first time.
-const MAX_FIRST_REPORT: u64 = 2;
+const MAX_FIRST_REPORT: u64 = 8;
 
 /// Request for a page of the flows that the sender owns.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
