Answer searches that came during the recovery when it ends

A search whose agents were still recovering went on only with the caller's next packet, up to 1.6 s later.

--- a/src/steering.rs
+++ b/src/steering.rs
@@ -71,6 +71,9 @@
     notices: Vec<announcements::Notice>,
     /// Announcements of flows that were not opened here, to take back.
     withdrawals: Vec<(Hop, Flow)>,
+    /// Searched flows of which this agent could not say anything yet, with the agents that
+    /// search for them.
+    deferred: Vec<(Hop, Flow)>,
     /// Roster revision for which the homes were determined.
     homes_revision: Option<u64>,
     service_times: Vec<Millis>,
@@ -90,6 +93,7 @@
             failure: failure_detector::FailureDetector::default(),
             notices: Vec::new(),
             withdrawals: Vec::new(),
+            deferred: Vec::new(),
             homes_revision: None,
             service_times: Vec::new(),
         }
@@ -208,6 +212,7 @@
         self.expire(context);
         self.update_homes(context);
         self.confirm_flows(context);
+        self.answer_deferred(context);
         self.reset_unowned(context, actions);
         self.pass_on_unanswered(context, actions);
         if self.is_hanging(now) {
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -4,6 +4,8 @@
 //! A search ends by the owner, or by the knowledge that no agent of the service owns the flow.
 //! An agent that does not know all flows of its upstream says so, which decides nothing.
 
+use std::mem;
+
 use super::{Action, Context, DropReason, Flows, ResetCause, redirect, to_next_hop};
 use crate::{
     clock::Millis,
@@ -23,6 +25,9 @@
 /// the next digest.
 const SETTLE_QUARTERS: u64 = 10;
 
+/// Maximum number of searches that are answered later.
+const MAX_DEFERRED: usize = 4_096;
+
 /// Upstream to which a packet is handed to find out whether it has the flow.
 enum Trial {
     /// The own one.
@@ -178,9 +183,32 @@
         } else {
             Reply::NotOwned
         };
+        let is_pending = context.tracking == Tracking::Recovering && may_own;
+        if is_pending && self.deferred.len() < MAX_DEFERRED {
+            self.deferred.push((requester, *flow));
+        }
         Action::ReplySearch(requester, *flow, reply)
     }
 
+    /// Answers the searches that came while the flows of the upstream were being recovered.
+    pub(super) fn answer_deferred(&mut self, context: &Context<'_>) {
+        if context.tracking == Tracking::Recovering {
+            return;
+        }
+        for (requester, flow) in mem::take(&mut self.deferred) {
+            match self.find(&flow) {
+                Ok(at) => {
+                    let entry = self.entries[at];
+                    self.notify(requester, &entry);
+                }
+                Err(_) if context.tracking == Tracking::Complete => {
+                    self.withdrawals.push((requester, flow));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
     fn deliver_trial(&mut self, header: Header, flow: Flow) -> Action {
         let token = self.headers.push(flow, header);
         Action::Deliver(token)
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -495,6 +495,24 @@
         .record_reply(NodeId(node), run, &flow(4_000), reply);
 }
 
+// Guards against callers of lost flows that wait for their next packet after all agents have
+// recovered.
+#[test]
+fn search_during_the_recovery_is_answered_when_it_ends() {
+    let mut agent = Agent::new(&[2]);
+    agent.tracking = Tracking::Recovering;
+    agent.inbound(search_header(2), &data(4_000, 9), Millis(0));
+    agent.tick(Millis(50));
+    assert_eq!(agent.flows.take_notices(), []);
+    agent.tracking = Tracking::Complete;
+    agent.tick(Millis(100));
+    let unowned = Message::Unowned {
+        node: NodeId(1),
+        flows: vec![flow(4_000)],
+    };
+    assert_eq!(agent.flows.take_notices(), [(hop(2), unowned)]);
+}
+
 // Guards against packets of an open flow that reach three upstreams and none its own, when
 // several agents have lost their tables at once.
 #[test]
