Let new flows wait for a free slot instead of refusing them in a short peak

Where a route states a time-out, a SYN that no upstream can serve in time waits at the agent with the shortest wait, if it is expected to be served before its caller gives the SYN up. What can be served in time is accepted as before; the waiting ones take what is left: urgent work first, and fresh work first once the room is slow. Copies of a SYN are not refused while the first one may wait.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -297,6 +297,20 @@
             self.log_decision(Some(flow), &action);
             self.perform(action, &mut packet);
         }
+        self.admit_waiting();
+    }
+
+    /// Accepts waiting flows after a packet of the upstream, which may have freed a slot.
+    fn admit_waiting(&mut self) {
+        if !self.flows.has_waiting() {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.decide(|flows, context| flows.admit_waiting(context, &mut actions));
+        for action in actions {
+            self.log_decision(None, &action);
+            self.perform(action, &mut []);
+        }
     }
 
     /// Handles a status report of the upstream, received when the host's wall clock showed
--- a/src/agent_core/actions.rs
+++ b/src/agent_core/actions.rs
@@ -44,7 +44,7 @@
                 self.outputs.push(output);
             }
             steering::Action::Probe => self.outputs.push(Output::Probe),
-            steering::Action::Drop(_) | steering::Action::Answer => {}
+            steering::Action::Hold | steering::Action::Drop(_) | steering::Action::Answer => {}
         }
     }
 
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -279,7 +279,7 @@
                 &segment,
             ) {
                 Ok(mut header) => {
-                    header.scope.partial = !knows_services && !segment.syn;
+                    header.route.partial = !knows_services && !segment.syn;
                     let priority = routing::priority(peers.config(), *hash_seed, &segment);
                     transport.send_packet(sockets, &header, bytes, priority, now);
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -92,5 +92,6 @@
 pub mod validation;
 pub mod version;
 pub mod views;
+pub mod waiting_room;
 
 pub use platform_store as platform;
--- a/src/load.rs
+++ b/src/load.rs
@@ -28,6 +28,9 @@
 /// is updated.
 const HYSTERESIS_STEPS: u8 = 4;
 
+/// Number of slots for each of which one more flow, besides the first, is accepted ahead.
+const LOOKAHEAD_SLOTS: u32 = 4;
+
 /// Load of one upstream.
 #[derive(Clone, Debug)]
 pub struct Load {
@@ -110,6 +113,13 @@
         self.busy + expected < self.slots
     }
 
+    /// Returns whether one more waiting flow is accepted, if `expected` others are about to
+    /// start. A few more than there are slots keep the slots busy during the handshakes.
+    #[must_use]
+    pub const fn has_lookahead(&self, expected: u32) -> bool {
+        self.busy + expected < self.slots + 1 + self.slots / LOOKAHEAD_SLOTS
+    }
+
     /// Returns the expected latency of one more request, if `expected` others are about to
     /// start: its wait for a slot and its service time.
     #[must_use]
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -12,7 +12,7 @@
     conntrack::{ENDED_TIMEOUT, IDLE_TIMEOUT},
     ident::{Incarnation, NodeId, ServiceId},
     packet::Flow,
-    protocol::{Header, Reply, Scope, ServiceHop},
+    protocol::{Header, Reply, RouteInfo, ServiceHop},
 };
 
 /// Minimum interval between two searches for the owner of one flow.
@@ -81,7 +81,7 @@
     /// Time at which an agent claimed the flow, if one did.
     opened: Option<Millis>,
     /// Services in which the flow may be, according to all packets.
-    scope: Scope,
+    route: RouteInfo,
     /// Last replies of the agents, sorted by node.
     answers: Vec<Answer>,
     /// Agents that were given a packet for their upstream.
@@ -230,12 +230,12 @@
     /// `SEARCH_INTERVAL`, and not too many are pending.
     ///
     /// `ack` is the last acknowledgement number of the caller.
-    pub fn start_search(&mut self, flow: Flow, ack: u32, scope: &Scope, now: Millis) -> bool {
+    pub fn start_search(&mut self, flow: Flow, ack: u32, route: &RouteInfo, now: Millis) -> bool {
         match self.find_search(&flow) {
             Ok(at) => {
                 let search = &mut self.searches[at];
                 search.ack = ack;
-                search.widen(scope);
+                search.widen(route);
                 if now.since(search.last) < SEARCH_INTERVAL {
                     return false;
                 }
@@ -251,7 +251,7 @@
                     asked: 1,
                     ack,
                     opened: opened.map(|at| self.redirects[at].since),
-                    scope: scope.clone(),
+                    route: route.clone(),
                     answers: Vec::new(),
                     tried: Vec::new(),
                     held: None,
@@ -452,18 +452,18 @@
 impl Search {
     /// Adds the services that another packet names. Whether a balancer knows all services is
     /// judged by the last packet.
-    fn widen(&mut self, scope: &Scope) {
-        add_missing(&mut self.scope.services, &scope.services);
-        add_missing(&mut self.scope.excluded, &scope.excluded);
-        self.scope.partial = scope.partial;
+    fn widen(&mut self, route: &RouteInfo) {
+        add_missing(&mut self.route.services, &route.services);
+        add_missing(&mut self.route.excluded, &route.excluded);
+        self.route.partial = route.partial;
     }
 
     /// Returns the number of other services in which the flow may be.
     fn open_elsewhere(&self, own: ServiceId) -> usize {
-        let services = self.scope.services.iter();
+        let services = self.route.services.iter();
         let open =
-            services.filter(|service| **service != own && !self.scope.excluded.contains(*service));
-        open.count() + usize::from(self.scope.partial)
+            services.filter(|service| **service != own && !self.route.excluded.contains(*service));
+        open.count() + usize::from(self.route.partial)
     }
 
     /// Returns the maximum number of upstreams to try: fewer if the flow may be in other
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -15,7 +15,7 @@
     header::{self, Hop},
     ident,
     packet::Flow,
-    roster,
+    record, roster,
 };
 
 /// Version of the header format that is sent and accepted.
@@ -126,28 +126,44 @@
     pub best: Option<BestHop>,
     /// Agent to which the owner of the flow announces itself.
     pub requester: Option<Hop>,
-    /// Services in which the owner may be. Left out if it can only be in the hops' service,
-    /// so that nodes of the version before read such headers.
-    #[serde(default, skip_serializing_if = "Scope::is_single")]
-    pub scope: Scope,
+    /// What is known of the route. Left out if it says nothing, so that nodes of the version
+    /// before read such headers.
+    #[serde(default, skip_serializing_if = "RouteInfo::is_default")]
+    pub route: RouteInfo,
 }
 
-/// Services in which the owner of an open flow may be.
+/// What an agent has to know of a packet's route: where the owner of an open flow may be, and
+/// how long a new flow may wait.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Scope {
+pub struct RouteInfo {
     /// Services of the route, now or before, if there are several.
     pub services: Vec<ident::ServiceId>,
     /// Those of them whose agents have all replied that they do not own the flow.
     pub excluded: Vec<ident::ServiceId>,
     /// Whether the balancer may not know all services of the route yet.
     pub partial: bool,
+    /// How long a new flow may wait for a free slot, if it may.
+    pub hold: Option<Hold>,
 }
 
-impl Scope {
-    /// Returns whether the flow can only be in one service.
+/// Conditions under which a new flow may wait for a free slot.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hold {
+    /// Priority class of the requests.
+    pub class: record::Class,
+    /// Target latency of a request.
+    pub target: Millis,
+    /// Maximum time for which the flow may wait.
+    pub limit: Millis,
+    /// Whether the packet is a copy of a SYN that was not answered yet.
+    pub repeated: bool,
+}
+
+impl RouteInfo {
+    /// Returns whether an open flow can only be in one service, and a new flow may not wait.
     #[must_use]
-    pub const fn is_single(&self) -> bool {
-        self.services.is_empty() && !self.partial
+    pub const fn is_default(&self) -> bool {
+        self.services.is_empty() && !self.partial && self.hold.is_none()
     }
 }
 
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -24,6 +24,13 @@
 /// the acknowledgement number.
 const COPY_AGES: [Millis; 3] = [Millis(0), Millis(200), Millis(600)];
 
+/// Maximum time for which a new flow waits for a free slot: callers give a SYN up 1.4 s after
+/// they have sent it first.
+const MAX_HOLD: Millis = Millis(1_250);
+
+/// Part of a route's time-out for which a new flow waits at most.
+const HOLD_TIMEOUT_PARTS: u64 = 3;
+
 /// Maximum number of former services kept per address.
 const MAX_FORMER: usize = 4;
 
@@ -50,6 +57,10 @@
     pub class: record::Class,
     /// Target latency of a request.
     pub target: Millis,
+    /// Time after which callers give a request up, if the operator has stated it. New flows
+    /// wait for a free slot only on routes that have one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub timeout: Option<Millis>,
 }
 
 /// Routing configuration.
@@ -182,6 +193,19 @@
         }
     }
 
+    /// Returns how long a new flow may wait for a free slot: a part of the time-out, and no
+    /// longer than its caller waits for the answer to its SYN.
+    fn hold(&self, age: Millis) -> Option<protocol::Hold> {
+        let limit = Millis(self.timeout?.0 / HOLD_TIMEOUT_PARTS).min(MAX_HOLD);
+        let is_useful = limit > self.max_wait();
+        is_useful.then_some(protocol::Hold {
+            class: self.class,
+            target: self.target,
+            limit,
+            repeated: age > Millis(0),
+        })
+    }
+
     /// Picks the target service of a flow by its hash, in proportion to the weights.
     fn pick_service(&self, hash: u64) -> Option<ServiceId> {
         let total: u64 = self.targets.iter().map(|target| weight(*target)).sum();
@@ -283,16 +307,18 @@
     let hash = segment.inbound().hash(seed);
     let picked = route.pick_service(hash).ok_or(Refusal::NoAgents)?;
     let origin = roster.me().domain;
-    let mut scope = protocol::Scope::default();
+    let mut info = protocol::RouteInfo::default();
     let (hops, age) = if segment.syn {
         if roster.is_all_evacuated(picked) {
             return Err(Refusal::Evacuated);
         }
         let copy = usize::try_from(segment.ack).unwrap_or(usize::MAX);
         let hops = syn_hops(tables.chains(picked, roster), origin, hash, copy);
-        (hops, COPY_AGES[copy.min(COPY_AGES.len() - 1)])
+        let age = COPY_AGES[copy.min(COPY_AGES.len() - 1)];
+        info.hold = route.hold(age);
+        (hops, age)
     } else {
-        scope.services = other_services(route, picked, tables, roster);
+        info.services = other_services(route, picked, tables, roster);
         let hops = flow_hops(route, picked, tables, roster, origin, hash);
         (hops, Millis(0))
     };
@@ -307,7 +333,7 @@
         max_wait: route.max_wait() - age,
         best: None,
         requester: None,
-        scope,
+        route: info,
     })
 }
 
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -32,7 +32,7 @@
     protocol::{Header, Mode, Reply, ServiceHop},
     roster,
     segment::Segment,
-    slow_start,
+    slow_start, waiting_room,
 };
 
 /// Lower bound of the time without a packet on any flow with an outstanding request after
@@ -67,6 +67,7 @@
     owners: owner_cache::OwnerCache,
     headers: header_ring::HeaderRing,
     pending_syns: Vec<opening::PendingSyn>,
+    waiting_room: waiting_room::WaitingRoom,
     failure: failure_detector::FailureDetector,
     notices: Vec<announcements::Notice>,
     /// Announcements of flows that were not opened here, to take back.
@@ -90,6 +91,7 @@
             owners: owner_cache::OwnerCache::default(),
             headers: header_ring::HeaderRing::new(),
             pending_syns: Vec::new(),
+            waiting_room: waiting_room::WaitingRoom::default(),
             failure: failure_detector::FailureDetector::default(),
             notices: Vec::new(),
             withdrawals: Vec::new(),
@@ -133,6 +135,12 @@
         self.own_address = me;
     }
 
+    /// Returns whether new flows wait for a free slot.
+    #[must_use]
+    pub const fn has_waiting(&self) -> bool {
+        !self.waiting_room.is_empty()
+    }
+
     /// Returns the failure detector of the upstream.
     #[must_use]
     pub const fn failure(&self) -> &failure_detector::FailureDetector {
@@ -213,6 +221,8 @@
         self.update_homes(context);
         self.confirm_flows(context);
         self.answer_deferred(context);
+        self.admit_waiting(context, actions);
+        self.refuse_expired(context, actions);
         self.reset_unowned(context, actions);
         self.pass_on_unanswered(context, actions);
         if self.is_hanging(now) {
--- a/src/steering/action.rs
+++ b/src/steering/action.rs
@@ -17,6 +17,8 @@
     Target,
     /// The packet opens a flow, and no agent of its chain accepts it.
     Full,
+    /// The packet repeats a SYN that waits here for a free slot.
+    Waiting,
     /// The owner is unknown, and no search was started: the last one is too recent, all
     /// agents have replied to it, or too many are pending.
     Searched,
@@ -34,6 +36,8 @@
 pub enum ResetCause {
     /// The flow is new, and no agent of the chain can serve it in time.
     Refused,
+    /// The flow is new, and no slot became free while it waited.
+    Expired,
     /// Every agent of the service has replied that it does not own the flow, or is
     /// considered gone; the first one that is gone, if any.
     Unowned(Option<NodeId>),
@@ -69,6 +73,8 @@
     Reset(Flow, u32, ResetCause),
     /// Open a connection to the upstream to check that it still listens.
     Probe,
+    /// Keep the SYN until a slot is free.
+    Hold,
     /// Drop the packet.
     Drop(DropReason),
 }
@@ -80,6 +86,7 @@
         match self {
             Self::Target => "drop_target",
             Self::Full => "drop_full",
+            Self::Waiting => "drop_waiting",
             Self::Searched => "drop_searched",
             Self::NotOwned => "drop_not_owned",
             Self::NotTracked => "drop_not_tracked",
@@ -94,6 +101,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Refused => "refuse",
+            Self::Expired => "refuse_expired",
             Self::Unowned(_) => "reset_unowned",
             Self::Returned => "reset_returned",
             Self::UpstreamLost => "reset_upstream_lost",
@@ -108,7 +116,7 @@
         match self {
             Self::Deliver(0) => "deliver",
             Self::Deliver(_) => "accept",
-            Self::DeliverHeld(..) => "try_held",
+            Self::DeliverHeld(..) => "deliver_held",
             Self::Send(header) => match header.mode {
                 Mode::Owner => "forward_to_owner",
                 Mode::Trial => "try",
@@ -124,6 +132,7 @@
             Self::Answer => "answer",
             Self::Reset(_, _, cause) => cause.name(),
             Self::Probe => "probe",
+            Self::Hold => "hold",
             Self::Drop(reason) => reason.name(),
         }
     }
--- a/src/steering/announcements.rs
+++ b/src/steering/announcements.rs
@@ -92,6 +92,19 @@
         self.entries[at] = entry;
     }
 
+    /// Queues announcements of a flow to all agents of its chain, one of which may keep an
+    /// earlier copy of its SYN.
+    pub(super) fn notify_chain(&mut self, context: &mut Context<'_>, at: usize) {
+        let entry = self.entries[at];
+        let hash = entry.flow.hash(context.seed);
+        let chain: Vec<_> = context.chains.chain(entry.origin, hash).collect();
+        let own = self.own_address.hop.node;
+        let others = chain.iter().filter(|candidate| candidate.hop.node != own);
+        for candidate in others {
+            self.notify(candidate.hop, &entry);
+        }
+    }
+
     /// Queues announcements of all that this agent knows of open flows, before it shuts down:
     /// of its own flows to their homes, and of claims of others that are announced here since
     /// `since` to two other agents.
--- a/src/steering/opening.rs
+++ b/src/steering/opening.rs
@@ -8,6 +8,7 @@
     packet::Flow,
     protocol::{BestHop, Header, Mode},
     segment::Segment,
+    waiting_room::Waiting,
 };
 
 /// Time within which a live upstream answers a SYN.
@@ -34,30 +35,41 @@
         bytes: &[u8],
     ) -> Action {
         let flow = segment.inbound();
+        if self.waiting_room.contains(&flow) {
+            return Action::Drop(DropReason::Waiting);
+        }
         let is_warm = context.slow_start.may_accept(context.now);
         let accepts = context.accepts && is_warm && !self.failure.is_suspected();
         let expected = self.expected_requests(context.now);
         if accepts && self.load.has_free_slot(expected) {
-            return self.accept_flow(context, header, segment, bytes);
+            return self.accept_flow(context, header, flow, bytes);
         }
         let own = accepts.then(|| BestHop {
             candidate: self.own_address,
-            wait: self.load.expected_wait(expected),
+            wait: self.expected_wait(&header, expected),
         });
         header.best = shorter_wait(header.best, own);
         if header.hops.len() > 1 {
             return to_next_hop(header);
         }
+        let is_copy = header.route.hold.is_some_and(|hold| hold.repeated);
+        if is_copy && header.best.is_some_and(|best| best.wait > header.max_wait) {
+            return Action::Drop(DropReason::Waiting);
+        }
         match header.best.take() {
             None if context.roster.is_all_evacuated(self.own_address.service) => {
                 Action::Reset(flow, 0, ResetCause::Refused)
             }
             None => Action::Drop(DropReason::Full),
-            Some(best) if best.wait > header.max_wait => {
+            Some(best) if best.wait > hold_limit(&header) => {
                 Action::Reset(flow, 0, ResetCause::Refused)
             }
             Some(best) if best.candidate.hop.node == self.own_address.hop.node => {
-                self.accept_flow(context, header, segment, bytes)
+                if best.wait > header.max_wait {
+                    self.hold_flow(context, header, flow, bytes)
+                } else {
+                    self.accept_flow(context, header, flow, bytes)
+                }
             }
             Some(best) => Action::Send(redirect(header, best.candidate, Mode::Chain)),
         }
@@ -68,10 +80,9 @@
         &mut self,
         context: &mut Context<'_>,
         header: Header,
-        segment: &Segment,
+        flow: Flow,
         bytes: &[u8],
     ) -> Action {
-        let flow = segment.inbound();
         context.slow_start.record_accepted(context.now);
         let entry = conntrack::Entry::new(flow, header.origin, context.now);
         let at = match self.find(&flow) {
@@ -85,6 +96,9 @@
             }
         };
         self.notify_homes(context, at);
+        if header.route.hold.is_some_and(|hold| hold.repeated) {
+            self.notify_chain(context, at);
+        }
         self.owners.forget(&flow);
         self.owners.record_present(&flow);
         let token = self.headers.push(flow, header);
@@ -97,6 +111,83 @@
         Action::Deliver(token)
     }
 
+    /// Returns the expected latency of a new flow: behind what the upstream has, and if that is
+    /// too long, behind what waits here as well.
+    fn expected_wait(&self, header: &Header, expected: u32) -> Millis {
+        let wait = self.load.expected_wait(expected);
+        match header.route.hold {
+            Some(hold) if wait > header.max_wait => {
+                let ahead = self.waiting_room.ahead(hold.class);
+                self.load.expected_wait(expected + ahead)
+            }
+            _ => wait,
+        }
+    }
+
+    /// Keeps a SYN until a slot is free.
+    fn hold_flow(
+        &mut self,
+        context: &Context<'_>,
+        header: Header,
+        flow: Flow,
+        bytes: &[u8],
+    ) -> Action {
+        let Some(hold) = header.route.hold else {
+            return Action::Reset(flow, 0, ResetCause::Refused);
+        };
+        let waiting = Waiting {
+            flow,
+            bytes: bytes.to_vec(),
+            class: hold.class,
+            target: hold.target,
+            since: context.now,
+            until: context.now + hold.limit,
+            header,
+        };
+        if self.waiting_room.push(waiting) {
+            Action::Hold
+        } else {
+            Action::Reset(flow, 0, ResetCause::Refused)
+        }
+    }
+
+    /// Accepts waiting SYNs while slots are free.
+    pub fn admit_waiting(&mut self, context: &mut Context<'_>, actions: &mut Vec<Action>) {
+        while !self.waiting_room.is_empty() && self.may_accept(context) {
+            let Some(waiting) = self.waiting_room.next(context.now) else {
+                return;
+            };
+            let Waiting {
+                header,
+                flow,
+                bytes,
+                ..
+            } = waiting;
+            if let Action::Deliver(token) = self.accept_flow(context, header, flow, &bytes) {
+                actions.push(Action::DeliverHeld(token, bytes));
+            }
+        }
+    }
+
+    /// Refuses the SYNs that have waited for too long, and all of them if the upstream accepts
+    /// no flows any more.
+    pub(super) fn refuse_expired(&mut self, context: &Context<'_>, actions: &mut Vec<Action>) {
+        let refused = if context.accepts {
+            self.waiting_room.take_expired(context.now)
+        } else {
+            self.waiting_room.take_all()
+        };
+        let resets = refused.into_iter();
+        actions.extend(resets.map(|w| Action::Reset(w.flow, 0, ResetCause::Expired)));
+    }
+
+    /// Returns whether one more flow would find a free slot.
+    fn may_accept(&self, context: &Context<'_>) -> bool {
+        let is_warm = context.slow_start.may_accept(context.now);
+        let accepts = context.accepts && is_warm && !self.failure.is_suspected();
+        accepts && self.load.has_lookahead(self.expected_requests(context.now))
+    }
+
     /// Adds the actions for SYNs that the upstream did not answer in time.
     pub(super) fn pass_on_unanswered(&mut self, context: &Context<'_>, actions: &mut Vec<Action>) {
         let now = context.now;
@@ -136,6 +227,12 @@
     }
 }
 
+/// Returns the maximum expected latency at which a new flow is not refused.
+fn hold_limit(header: &Header) -> Millis {
+    let limit = header.route.hold.map(|hold| hold.limit);
+    header.max_wait.max(limit.unwrap_or_default())
+}
+
 /// Returns the candidate with the shorter expected wait.
 fn shorter_wait(a: Option<BestHop>, b: Option<BestHop>) -> Option<BestHop> {
     match (a, b) {
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -50,6 +50,7 @@
         }
         let claim = Claim { owner, confirmed };
         for flow in flows {
+            self.waiting_room.remove(flow);
             let found = self.find(flow);
             if !found.is_ok_and(|at| self.entries[at].is_confirmed()) {
                 self.owners.learn(*flow, claim, now);
@@ -240,9 +241,9 @@
         let candidates = self.candidates(context);
         let due = self
             .owners
-            .start_search(flow, segment.ack, &header.scope, context.now);
+            .start_search(flow, segment.ack, &header.route, context.now);
         if self.is_excluded(context, &flow, &candidates) {
-            header.scope.excluded.push(own.service);
+            header.route.excluded.push(own.service);
         }
         header.requester = Some(own.hop);
         self.owners.hold(&flow, &header, bytes);
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -137,6 +137,7 @@
             former: Vec::new(),
             class: cassiacross::record::Class::Normal,
             target: Millis(200),
+            timeout: None,
         }],
         limits: Vec::new(),
     };
--- a/tests/flow_model.rs
+++ b/tests/flow_model.rs
@@ -159,6 +159,7 @@
             former: Vec::new(),
             class: cassiacross::record::Class::Normal,
             target: Millis(400),
+            timeout: None,
         }],
         limits: Vec::new(),
     }
--- a/tests/load_model/fleet.rs
+++ b/tests/load_model/fleet.rs
@@ -11,6 +11,7 @@
     header::Hop,
     ident::{DomainId, Incarnation, NodeId, ServiceId},
     member,
+    packet::Flow,
     protocol::{self, ServiceHop},
     roster, routing,
     segment::Segment,
@@ -110,6 +111,7 @@
             former: Vec::new(),
             class: kind.class,
             target: Millis(kind.target),
+            timeout: pattern.hold.then_some(Millis(kind.deadline)),
         });
     routing::Config {
         version: 1,
@@ -181,7 +183,7 @@
             max_wait: Millis(0),
             best: None,
             requester: None,
-            scope: protocol::Scope::default(),
+            route: protocol::RouteInfo::default(),
         };
         send(header, segment, now + caller::DELAY, agenda);
     }
@@ -222,6 +224,50 @@
             flows.outbound(context, segment, b"packet")
         });
         self.perform(agent, action, segment, now, agenda);
+        let mut actions = Vec::new();
+        self.decide(agent, now, |flows, context| {
+            flows.admit_waiting(context, &mut actions);
+        });
+        self.perform_late(agent, actions, now, agenda);
+    }
+
+    /// Carries out decisions on SYNs that arrived before.
+    fn perform_late(&mut self, agent: usize, actions: Vec<Action>, now: u64, agenda: &mut Agenda) {
+        for action in actions {
+            match action {
+                Action::Resend(header, bytes) => {
+                    let syn = repeated_syn(&self.requests, &bytes);
+                    send(header, syn, now, agenda);
+                }
+                Action::DeliverHeld(_, bytes) => {
+                    let syn = repeated_syn(&self.requests, &bytes);
+                    self.arrive(agent, syn, now, agenda);
+                }
+                Action::Reset(flow, ..) => Self::reset(flow, now, agenda),
+                _ => {}
+            }
+        }
+    }
+
+    fn reset(flow: Flow, now: u64, agenda: &mut Agenda) {
+        let segment = Segment {
+            from: flow.service,
+            to: flow.caller,
+            syn: false,
+            syn_ack: false,
+            fin: false,
+            reset: true,
+            bounced: false,
+            token: 0,
+            seq: 0,
+            ack: 0,
+            len: 0,
+        };
+        let event = Event::Caller {
+            segment,
+            from: None,
+        };
+        agenda.push(now + caller::DELAY, event);
     }
 
     /// Ends a request on an upstream, answers it and starts the next one.
@@ -294,12 +340,7 @@
         self.decide(agent, now, |flows, context| {
             flows.tick(context, &mut actions);
         });
-        for action in actions {
-            if let Action::Resend(header, bytes) = action {
-                let syn = repeated_syn(&self.requests, &bytes);
-                send(header, syn, now, agenda);
-            }
-        }
+        self.perform_late(agent, actions, now, agenda);
     }
 
     /// Adds agents that have been up long enough to the membership table.
@@ -358,23 +399,9 @@
                     },
                 );
             }
-            Action::Reset(flow, ..) => {
-                let reset = Segment {
-                    from: flow.service,
-                    to: flow.caller,
-                    syn: false,
-                    reset: true,
-                    ..*segment
-                };
-                agenda.push(
-                    back,
-                    Event::Caller {
-                        segment: reset,
-                        from: None,
-                    },
-                );
-            }
-            Action::Drop(_)
+            Action::Reset(flow, ..) => Self::reset(flow, now, agenda),
+            Action::Hold
+            | Action::Drop(_)
             | Action::Search(..)
             | Action::ReplySearch(..)
             | Action::ReplyOwner(..)
--- a/tests/load_model/mod.rs
+++ b/tests/load_model/mod.rs
@@ -46,6 +46,8 @@
     pub power_off: Option<(u64, u64)>,
     /// More arrivals: from, to, factor.
     pub burst: Option<(u64, u64, f64)>,
+    /// Whether new flows may wait for a free slot.
+    pub hold: bool,
     pub length: u64,
     pub seed: u64,
 }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -9,6 +9,7 @@
 
 use cassiacross::record::Class;
 use load_model::{Kind, Outcome, Pattern};
+use yare::parameterized;
 
 const URGENT: usize = 0;
 const NORMAL: usize = 1;
@@ -46,6 +47,7 @@
         cold: (2_000, 1.6),
         power_off: None,
         burst: None,
+        hold: false,
         length: 10_000,
         seed: 1,
     }
@@ -121,6 +123,45 @@
     assert!(total(&played).served() > 0.98, "{played:?}");
 }
 
+/// Eight upstreams of three slots at 0.75 of their capacity, whose callers wait for long.
+fn patient_callers() -> Pattern {
+    let mut pattern = quiet_load();
+    pattern.slots = 3;
+    pattern.slowness = vec![0.7, 0.7, 0.8, 0.8, 0.9, 1.0, 1.2, 1.5];
+    pattern.kinds[URGENT].rate = 70.0;
+    pattern.kinds[URGENT].target = 400;
+    pattern.kinds[URGENT].deadline = 5_000;
+    pattern.kinds[NORMAL].rate = 270.0;
+    pattern.kinds[NORMAL].target = 400;
+    pattern.kinds[NORMAL].deadline = 4_000;
+    pattern.hold = true;
+    pattern
+}
+
+// Guards against refusals in a short peak of work that could be answered after it, and against
+// a peak in which fresh work is answered late for it.
+#[parameterized(
+    half_again = { 1.5, 1_000, 0.99 },
+    nearly_twice = { 1.8, 2_000, 0.98 },
+    more_than_twice = { 2.2, 3_000, 0.85 },
+)]
+fn short_peak_of_patient_callers_is_served(factor: f64, length: u64, share: f64) {
+    let span = 3_000..5_000 + length;
+    let [waiting, refused] = [true, false].map(|hold| {
+        let mut pattern = patient_callers();
+        pattern.hold = hold;
+        pattern.burst = Some((3_000, 3_000 + length, factor));
+        let [played, _] = play(&format!("peak, waiting: {hold}"), &pattern, &span);
+        total(&played)
+    });
+    assert!(waiting.served() >= share, "{waiting:?}");
+    assert!(waiting.failed <= refused.failed, "{waiting:?} {refused:?}");
+    assert!(
+        waiting.in_time * 100 >= refused.in_time * 95,
+        "{waiting:?} {refused:?}"
+    );
+}
+
 /// The whole fleet loses power and comes back cold; callers repeat what they sent before.
 #[test]
 fn return_of_the_fleet_serves_half_of_the_requests() {
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -29,6 +29,7 @@
         former: Vec::new(),
         class: record::Class::Normal,
         target: Millis(200),
+        timeout: None,
     };
     routing::Config {
         version,
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -34,7 +34,7 @@
             wait: Millis(100),
         }),
         requester: Some(agent.hop),
-        scope: protocol::Scope::default(),
+        route: protocol::RouteInfo::default(),
     }
 }
 
@@ -107,3 +107,17 @@
         prop_assert!(transport.open(&bytes).is_err());
     }
 }
+
+#[test]
+fn header_of_a_new_flow_that_may_wait_round_trips() {
+    let mut header = header(6);
+    header.route.hold = Some(protocol::Hold {
+        class: cassiacross::record::Class::Urgent,
+        target: Millis(400),
+        limit: Millis(1_000),
+        repeated: true,
+    });
+    let bytes = encoded(&header, b"packet");
+    let (decoded, _) = protocol::decode(&bytes).unwrap();
+    assert_eq!(decoded, header);
+}
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -64,6 +64,7 @@
             former: Vec::new(),
             class: record::Class::Normal,
             target: Millis(200),
+            timeout: None,
         }],
         limits: Vec::new(),
     }
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -12,7 +12,7 @@
     owner_cache::Claim,
     packet::Flow,
     protocol::{self, Header, Message, Mode, Reply, ServiceHop},
-    roster,
+    record, roster,
     segment::Segment,
     slow_start,
     steering::{self, Action, DropReason, ResetCause},
@@ -162,7 +162,7 @@
         max_wait: MAX_WAIT,
         best: None,
         requester: None,
-        scope: protocol::Scope::default(),
+        route: protocol::RouteInfo::default(),
     }
 }
 
@@ -300,6 +300,91 @@
     assert_eq!(action, Action::Reset(flow(4_000), 0, ResetCause::Refused));
 }
 
+/// Header of a new flow that may wait for a free slot.
+fn hold_header(hops: &[u16], repeated: bool) -> Header {
+    let mut header = header(hops);
+    header.route.hold = Some(protocol::Hold {
+        class: record::Class::Normal,
+        target: Millis(200),
+        limit: Millis(1_000),
+        repeated,
+    });
+    header
+}
+
+/// Creates an agent whose upstream has more requests than slots, and one new flow that waits.
+fn agent_with_a_waiting_flow() -> Agent {
+    let mut agent = Agent::new(&[2]);
+    agent.establish_flow(1, Millis(0));
+    agent.establish_flow(2, Millis(0));
+    agent.flows.load_mut().set_slots(1);
+    let action = agent.inbound(hold_header(&[1], false), &syn(4_000), Millis(0));
+    assert_eq!(action, Action::Hold);
+    agent
+}
+
+fn admitted(agent: &mut Agent, now: Millis) -> Vec<Action> {
+    let mut actions = Vec::new();
+    agent.decide(now, |flows, context| {
+        flows.admit_waiting(context, &mut actions);
+    });
+    actions
+}
+
+// Guards against refusals in a short peak of work that could be answered after it.
+#[test]
+fn new_flow_waits_until_a_slot_is_free() {
+    let mut agent = agent_with_a_waiting_flow();
+    agent.outbound(&answer(1), Millis(40));
+    agent.outbound(&answer(2), Millis(40));
+    let actions = admitted(&mut agent, Millis(40));
+    assert!(matches!(&*actions, [Action::DeliverHeld(_, bytes)] if bytes == b"packet"));
+    assert!(!agent.flows.has_waiting());
+}
+
+#[parameterized(
+    no_slot_in_time = { true, 1_000 },
+    upstream_drains = { false, 100 },
+)]
+fn waiting_flow_is_refused_when_it_cannot_be_served(accepts: bool, now: u64) {
+    let mut agent = agent_with_a_waiting_flow();
+    agent.accepts = accepts;
+    let actions = agent.tick(Millis(now));
+    let refusal = Action::Reset(flow(4_000), 0, ResetCause::Expired);
+    assert!(actions.contains(&refusal), "{actions:?}");
+    assert!(!agent.flows.has_waiting());
+}
+
+// Guards against the end of an attempt whose first SYN waits, by the refusal of its copy.
+#[parameterized(
+    at_the_same_agent = { 4_000 },
+    elsewhere = { 4_001 },
+)]
+fn copy_of_a_waiting_syn_is_not_refused(caller: u16) {
+    let mut agent = agent_with_a_waiting_flow();
+    let action = agent.inbound(hold_header(&[1], true), &syn(caller), Millis(200));
+    assert_eq!(action, Action::Drop(DropReason::Waiting));
+}
+
+// Guards against a slot that is kept for a caller who was served elsewhere.
+#[test]
+fn flow_that_was_accepted_elsewhere_does_not_wait_any_more() {
+    let mut agent = agent_with_a_waiting_flow();
+    agent
+        .flows
+        .learn_owners(service_hop(2), &[flow(4_000)], false, Millis(200));
+    assert!(!agent.flows.has_waiting());
+}
+
+#[test]
+fn new_flow_of_a_route_without_a_timeout_does_not_wait() {
+    let mut agent = Agent::new(&[2]);
+    agent.establish_flow(1, Millis(0));
+    agent.establish_flow(2, Millis(0));
+    let action = agent.inbound(header(&[1]), &syn(4_000), Millis(0));
+    assert_eq!(action, Action::Reset(flow(4_000), 0, ResetCause::Refused));
+}
+
 #[test]
 fn answered_request_frees_its_slot() {
     let mut agent = Agent::new(&[2]);
@@ -639,7 +724,7 @@
     let mut agent = Agent::new(&[2]);
     let other = ServiceId(8);
     let mut split = header(&[1]);
-    split.scope.services = vec![SERVICE, other];
+    split.route.services = vec![SERVICE, other];
     let now = AFTER_SETTLING;
     agent
         .roster
@@ -647,7 +732,7 @@
     agent.inbound(split.clone(), &data(4_000, 9), now);
     agent.not_owned(2);
     assert_eq!(agent.tick(now), []);
-    split.scope.excluded = vec![other];
+    split.route.excluded = vec![other];
     agent.inbound(split, &data(4_000, 9), now + Millis(200));
     assert_eq!(agent.tick(now + Millis(200)).len(), 1);
 }
@@ -659,7 +744,7 @@
     let mut agent = Agent::new(&[2, 3]);
     let mut split = header(&[1, 2]);
     split.hops[1].service = ServiceId(8);
-    split.scope.services = vec![SERVICE, ServiceId(8)];
+    split.route.services = vec![SERVICE, ServiceId(8)];
     let now = AFTER_SETTLING;
     agent
         .roster
@@ -672,7 +757,7 @@
     let Action::Send(header) = action else {
         panic!("{action:?}");
     };
-    assert_eq!(header.scope.excluded, [SERVICE]);
+    assert_eq!(header.route.excluded, [SERVICE]);
 }
 
 // Guards against a wrong upstream as the confirmed owner of a flow whose SYN it took in vain.
