Limit the concurrency of an upstream to what it takes well

The operators' wish: servers of one service differ in speed, and some slow down long before they are full; fixed slots do not fit. An agent compares the service times of requests that started at the limit with those at half of it. The limit falls by a quarter while more concurrency brings no clearly higher throughput, and rises by one otherwise (additive increase, multiplicative decrease), with medians of the last three seconds. It is on where the deployment's settings say that upstreams may slow down unnoticed.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -50,6 +50,8 @@
     pub grace: Millis,
     /// Rate of the host's link in Mbit/s.
     pub link_mbps: f64,
+    /// Whether the concurrency of the upstream is limited by what it is seen to take well.
+    pub adaptive_limit: bool,
     /// Tolerance of the limit on new flows while the upstream warms up; without one, there is
     /// no limit.
     pub slow_start: Option<slow_start::Tolerance>,
@@ -81,6 +83,8 @@
     status: &'a status::Status,
     busy: u32,
     slots: u32,
+    /// Number of requests that the upstream is to serve at a time.
+    limit: u32,
     mean_ms: Millis,
     /// Time for which the upstream has been unresponsive.
     unheard_ms: Option<Millis>,
@@ -150,6 +154,12 @@
     }
 }
 
+fn new_flows(own_address: protocol::ServiceHop, adaptive_limit: bool) -> steering::Flows {
+    let mut flows = steering::Flows::new(own_address);
+    flows.load_mut().set_adaptive(adaptive_limit);
+    flows
+}
+
 impl AgentCore {
     /// Creates the state of an agent with the entry `me`. `hash_seed` is the seed of the flow
     /// hash, the same in the whole fleet.
@@ -174,7 +184,7 @@
             chains_revision: None,
             peers,
             status: status::Status::new(service, settings.report_period),
-            flows: steering::Flows::new(own_address),
+            flows: new_flows(own_address, settings.adaptive_limit),
             recovery: flow_recovery::Recovery::new(settings.first_start),
             slow_start: slow_start::SlowStart::new(settings.slow_start),
             evacuated: false,
@@ -411,6 +421,7 @@
             status: &self.status,
             busy: load.busy(),
             slots: load.slots(),
+            limit: load.limit(),
             mean_ms: load.mean_time(),
             unheard_ms: self.flows.failure().suspected_for(now),
             flows: self.flows.entries(),
@@ -451,6 +462,7 @@
             flow = flow,
             busy = load.busy(),
             slots = load.slots(),
+            limit = load.limit(),
             mean_ms = load.mean_time().0,
             report_age_ms = now.since(self.status.reported_at()).0,
             roster = self.peers.roster().revision(),
--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -43,6 +43,8 @@
     since: Millis,
     /// Whether a slot of the upstream was free when it started.
     alone: bool,
+    /// Number of requests that were running when it started, itself included.
+    running: u32,
 }
 
 /// A tracked flow of the upstream.
@@ -215,7 +217,11 @@
                 request.since = now;
             } else {
                 let alone = load.begin();
-                self.request = Some(Request { since: now, alone });
+                self.request = Some(Request {
+                    since: now,
+                    alone,
+                    running: load.busy(),
+                });
             }
         }
         self.caller_done |= segment.fin;
@@ -241,6 +247,7 @@
         let service_time = request.map(|request| {
             let service_time = now.since(request.since);
             load.complete(request.alone.then_some(service_time));
+            load.adapt(request.running, service_time, now);
             service_time
         });
         self.upstream_done |= segment.fin;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod chains;
 pub mod change;
 pub mod clock;
+pub mod concurrency_limit;
 pub mod config_transfer;
 pub mod connection;
 pub mod conntrack;
--- a/src/load.rs
+++ b/src/load.rs
@@ -3,7 +3,9 @@
 //!
 //! The service time of a request runs from its last data to the first data of the answer.
 
-use crate::{clock::Millis, member, moving_average::MovingAverage};
+use crate::{
+    clock::Millis, concurrency_limit::ConcurrencyLimit, member, moving_average::MovingAverage,
+};
 
 /// Weight of a new sample in the moving average of the service time, from which waits are
 /// estimated.
@@ -40,6 +42,8 @@
     /// Slower average of the service time, in milliseconds.
     capacity: MovingAverage,
     reported_step: u8,
+    /// Measured limit on the concurrency, if it is in use.
+    limit: Option<ConcurrencyLimit>,
 }
 
 impl Load {
@@ -52,15 +56,30 @@
             mean_ms: INITIAL_MEAN_MS,
             capacity: MovingAverage::default(),
             reported_step: 0,
+            limit: None,
         };
         load.reported_step = load.measured_step();
         load
     }
 
+    /// Creates the load of another run of the upstream, with the same slots and settings.
+    #[must_use]
+    pub fn restarted(&self) -> Self {
+        let mut load = Self::new(self.slots);
+        load.set_adaptive(self.limit.is_some());
+        load
+    }
+
+    /// Sets whether the concurrency is limited by what the upstream is seen to take well.
+    pub fn set_adaptive(&mut self, adaptive: bool) {
+        self.limit = adaptive.then(|| ConcurrencyLimit::new(self.slots));
+    }
+
     /// Sets the number of slots that the upstream reports.
     pub fn set_slots(&mut self, slots: u32) {
         if self.slots != slots.max(1) {
             self.slots = slots.max(1);
+            self.set_adaptive(self.limit.is_some());
             self.reported_step = self.measured_step();
         }
     }
@@ -88,6 +107,23 @@
         self.capacity.add(sample, CAPACITY_SMOOTHING_FACTOR);
     }
 
+    /// Adapts the limit to the service time of a request that started while `running` requests
+    /// were running.
+    pub fn adapt(&mut self, running: u32, service_time: Millis, now: Millis) {
+        let slots = self.slots;
+        if let Some(limit) = self.limit.as_mut().filter(|_| running <= slots) {
+            limit.record(running, service_time, slots, now);
+        }
+    }
+
+    /// Returns the number of requests that the upstream is to serve at a time: its slots, or
+    /// fewer if it does not take that many well.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        let limit = self.limit.as_ref().map(ConcurrencyLimit::limit);
+        limit.unwrap_or(self.slots).min(self.slots)
+    }
+
     /// Returns the number of outstanding requests.
     #[must_use]
     pub const fn busy(&self) -> u32 {
@@ -109,23 +145,25 @@
     /// Returns whether a slot is free for one more request, if `expected` others are
     /// about to start.
     #[must_use]
-    pub const fn has_free_slot(&self, expected: u32) -> bool {
-        self.busy + expected < self.slots
+    pub fn has_free_slot(&self, expected: u32) -> bool {
+        self.busy + expected < self.limit()
     }
 
     /// Returns whether one more waiting flow is accepted, if `expected` others are about to
     /// start. A few more than there are slots keep the slots busy during the handshakes.
     #[must_use]
-    pub const fn has_lookahead(&self, expected: u32) -> bool {
-        self.busy + expected < self.slots + 1 + self.slots / LOOKAHEAD_SLOTS
+    pub fn has_lookahead(&self, expected: u32) -> bool {
+        let limit = self.limit();
+        self.busy + expected < limit + 1 + limit / LOOKAHEAD_SLOTS
     }
 
     /// Returns the expected latency of one more request, if `expected` others are about to
     /// start: its wait for a slot and its service time.
     #[must_use]
     pub fn expected_wait(&self, expected: u32) -> Millis {
-        let ahead = (self.busy + expected + 1).saturating_sub(self.slots);
-        Millis::from_f64(self.mean_ms * (1.0 + f64::from(ahead) / f64::from(self.slots)))
+        let limit = self.limit();
+        let ahead = (self.busy + expected + 1).saturating_sub(limit);
+        Millis::from_f64(self.mean_ms * (1.0 + f64::from(ahead) / f64::from(limit)))
     }
 
     /// Returns the capacity to report, in steps of [`member::capacity`].
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -243,7 +243,7 @@
         self.entries.clear();
         self.pending_syns.clear();
         self.failure = failure_detector::FailureDetector::default();
-        self.load = load::Load::new(self.load.slots());
+        self.load = self.load.restarted();
     }
 
     /// Returns the index of a tracked flow, or the index at which it would be inserted.
--- a/tests/flow_model.rs
+++ b/tests/flow_model.rs
@@ -144,6 +144,7 @@
         grace: Millis(6_000),
         link_mbps: 1_000.0,
         slow_start: None,
+        adaptive_limit: false,
     }
 }
 
