Bound single service times in the average from which waits are expected

A sample counts at three times the average at most. One request of 600 ms moves an average of 50 ms to 60 ms (105 ms before); a loss of speed to a quarter is followed within twenty requests.

--- a/src/load.rs
+++ b/src/load.rs
@@ -11,6 +11,10 @@
 /// estimated.
 const SMOOTHING_FACTOR: f64 = 0.1;
 
+/// Multiple of the average service time at which a sample is cut: one request of a heavy tail
+/// does not make an idle upstream look slow.
+const MAX_SAMPLE_FACTOR: f64 = 3.0;
+
 /// Weight of a new sample in the moving average from which the capacity is reported. It is
 /// small, because each change of a reported capacity goes to all nodes and moves flows, and
 /// service times differ from request to request.
@@ -103,7 +107,8 @@
             return;
         };
         let sample = service_time.to_f64();
-        self.mean_ms += (sample - self.mean_ms) * SMOOTHING_FACTOR;
+        let bounded = sample.min(self.mean_ms * MAX_SAMPLE_FACTOR);
+        self.mean_ms += (bounded - self.mean_ms) * SMOOTHING_FACTOR;
         self.capacity.add(sample, CAPACITY_SMOOTHING_FACTOR);
     }
 
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -122,3 +122,26 @@
         assert!(load.capacity_step() + 6 < before, "seed {seed}");
     }
 }
+
+// Guards against refusals by an idle upstream after a single long request.
+#[test]
+fn single_long_request_hardly_changes_the_expected_wait() {
+    let mut load = Load::new(3);
+    for _ in 0..50 {
+        load.begin();
+        load.complete(Some(Millis(50)));
+    }
+    load.begin();
+    load.complete(Some(Millis(600)));
+    assert!(load.mean_time() < Millis(65), "{:?}", load.mean_time());
+}
+
+#[test]
+fn loss_of_speed_is_followed_within_twenty_requests() {
+    let mut load = Load::new(3);
+    for time in [50; 50].into_iter().chain([200; 20]) {
+        load.begin();
+        load.complete(Some(Millis(time)));
+    }
+    assert!(load.mean_time() > Millis(150), "{:?}", load.mean_time());
+}
