Hand packets to all upstreams once all agents have lost their tables

An agent that lost its table together with all that it knows says so. If every agent of the service says so, and none has joined for 1.5 s, the owner is among them: all upstreams get the packet at once, the right one too, so that none of its packets reach only others. Elsewhere the limit of two stays.

- Repeated requests of flows that were learned from their upstream counted as new load (36 outstanding requests at two slots).
- An agent that stops without ever having heard of its upstream asks whether one listens; if none does, searches need not wait for it.

The state machine's dump and log lines are in `agent_core::diagnostics`.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -2,17 +2,16 @@
 //! reports and the passage of time go in, and what is to be sent comes out.
 
 mod actions;
+mod diagnostics;
 mod ownership;
 
 use std::{mem, net::SocketAddrV4};
 
 use log::{debug, info, warn};
-use serde::Serialize;
 
 use crate::{
-    chains, clock::Millis, conntrack, evacuation, flow_recovery, header, ident, member, pacer,
-    packet::Flow, peer_sync, polling, protocol, roster, segment, slow_start, status, steering,
-    telemetry, transport,
+    chains, clock::Millis, flow_recovery, header, ident, member, pacer, peer_sync, polling,
+    protocol, roster, routing, segment, slow_start, status, steering, telemetry,
 };
 
 /// Time after the start of the agent after which no untracked flow is left: a flow
@@ -72,33 +71,6 @@
     Probe,
 }
 
-/// Content of a state dump.
-#[derive(Serialize)]
-struct Dump<'a> {
-    now: Millis,
-    recovery: &'a flow_recovery::Recovery,
-    slow_start: &'a slow_start::SlowStart,
-    evacuations: &'a evacuation::Evacuations,
-    leaving: bool,
-    status: &'a status::Status,
-    busy: u32,
-    slots: u32,
-    /// Number of requests that the upstream is to serve at a time.
-    limit: u32,
-    mean_ms: Millis,
-    /// Time for which the upstream has been unresponsive.
-    unheard_ms: Option<Millis>,
-    flows: &'a [conntrack::Entry],
-    /// Number of flows for which another agent is known as the owner.
-    redirects: usize,
-    roster: &'a roster::Roster,
-    config: u64,
-    /// Time that the waiting datagrams take up the link.
-    link_delay_ms: Millis,
-    /// Number of datagrams that were not sent.
-    unsent: transport::Unsent,
-}
-
 /// State of an agent.
 #[derive(Debug)]
 pub struct AgentCore {
@@ -251,10 +223,18 @@
         self.peers.set_platform_addresses(addresses);
     }
 
+    /// Activates a configuration if its version is newer.
+    pub fn apply_config(&mut self, config: routing::Config) {
+        self.peers.apply_config(config);
+    }
+
     /// Starts to shut down: other agents are told all owners of flows known here.
     pub fn stop(&mut self, now: Millis) {
         self.now = now;
         self.leaving = true;
+        if self.status.is_unknown() {
+            self.outputs.push(Output::Probe);
+        }
         self.peers.update_self(|me| me.leaving = true);
         self.say_farewell();
     }
@@ -380,6 +360,11 @@
     pub fn handle_probe_result(&mut self, listens: bool, now: Millis) {
         self.now = now;
         debug!(listens = listens; "upstream probe finished");
+        if self.leaving && !listens && self.status.is_unknown() {
+            info!("no upstream has reported and none listens; announcing that none is running");
+            self.status.set_absent();
+            self.update_entry();
+        }
         self.flows.record_probe(listens, now);
         self.check_failure(now);
     }
@@ -408,90 +393,6 @@
         self.check_failure(now);
     }
 
-    /// Returns the state as JSON.
-    #[must_use]
-    pub fn dump(&self, link_delay: Millis, unsent: transport::Unsent, now: Millis) -> String {
-        let load = self.flows.load();
-        let dump = Dump {
-            now,
-            recovery: &self.recovery,
-            slow_start: &self.slow_start,
-            evacuations: self.peers.evacuations(),
-            leaving: self.leaving,
-            status: &self.status,
-            busy: load.busy(),
-            slots: load.slots(),
-            limit: load.limit(),
-            mean_ms: load.mean_time(),
-            unheard_ms: self.flows.failure().suspected_for(now),
-            flows: self.flows.entries(),
-            redirects: self.flows.redirects(),
-            roster: self.peers.roster(),
-            config: self.peers.config_version(),
-            link_delay_ms: link_delay,
-            unsent,
-        };
-        serde_json::to_string_pretty(&dump).unwrap_or_else(|error| error.to_string())
-    }
-
-    /// Counts a decision and logs it within the rate limit.
-    fn log_decision(&mut self, flow: Option<Flow>, action: &steering::Action) {
-        let severity = match action {
-            steering::Action::Deliver(0) | steering::Action::Answer => return,
-            steering::Action::Deliver(_)
-            | steering::Action::Send(_)
-            | steering::Action::ReplySearch(..)
-            | steering::Action::ReplyOwner(..)
-            | steering::Action::Drop(
-                steering::DropReason::NotOwned | steering::DropReason::Searched,
-            ) => telemetry::Severity::Routine,
-            _ => telemetry::Severity::Notable,
-        };
-        let now = self.now;
-        let Some(suppressed) = self.telemetry.record_decision(action.name(), severity, now) else {
-            return;
-        };
-        let (flow, gone) = match action {
-            steering::Action::Reset(flow, _, cause) => (Some(*flow), self.gone_agent(*cause)),
-            _ => (flow, None),
-        };
-        let flow = flow.map(|flow| flow.to_string()).unwrap_or_default();
-        let load = self.flows.load();
-        info!(
-            decision = action.name(),
-            flow = flow,
-            busy = load.busy(),
-            slots = load.slots(),
-            limit = load.limit(),
-            mean_ms = load.mean_time().0,
-            report_age_ms = now.since(self.status.reported_at()).0,
-            roster = self.peers.roster().revision(),
-            tracking:? = self.recovery.tracking(),
-            left_out = suppressed;
-            "flow decision"
-        );
-        if let Some(agent) = gone {
-            info!(
-                node = agent.entry.node.0,
-                incarnation = agent.entry.incarnation.0,
-                leaving = agent.entry.leaving,
-                state:? = agent.entry.upstream.and_then(|upstream| upstream.state),
-                silent = agent.silent,
-                heard_ms = now.since(agent.heard).0,
-                period_ms = agent.period.0;
-                "agent that did not reply is considered gone"
-            );
-        }
-    }
-
-    /// Returns what is known of an agent that was considered gone in a search.
-    fn gone_agent(&self, cause: steering::ResetCause) -> Option<&roster::Peer> {
-        match cause {
-            steering::ResetCause::Unowned(Some(node)) => self.peers.roster().find(node),
-            _ => None,
-        }
-    }
-
     /// Resets all flows of a failed or deregistered upstream and announces the change to
     /// the other nodes.
     fn drop_upstream(&mut self) {
--- a/src/agent_core/actions.rs
+++ b/src/agent_core/actions.rs
@@ -68,9 +68,12 @@
             self.outputs.push(Output::Forward(rest, packet.to_vec()));
         }
         let roster = self.peers.roster();
-        let known = nodes
-            .iter()
-            .filter_map(|node| roster.find(*node)?.entry.hop());
+        let entry = |node: &ident::NodeId| {
+            let me = roster.me();
+            let peer = || roster.find(*node).map(|peer| &peer.entry);
+            if me.node == *node { Some(me) } else { peer() }
+        };
+        let known = nodes.iter().filter_map(|node| entry(node)?.hop());
         for hop in known {
             header.hops = vec![protocol::ServiceHop {
                 service: self.service,
--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -122,6 +122,7 @@
             isn: segment.syn_ack.then_some(segment.seq),
             confirmed: !segment.syn_ack,
             fresh: false,
+            sent: Some(segment.ack),
             ..Self::new(segment.outbound(), origin, now)
         }
     }
@@ -243,6 +244,9 @@
         }
         self.confirmed |= !segment.reset;
         self.recovered &= segment.reset;
+        if !segment.reset && self.sent.is_none() {
+            self.sent = Some(segment.ack);
+        }
         let request = self.request.take_if(|_| segment.len > 0);
         let service_time = request.map(|request| {
             let service_time = now.since(request.since);
--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -87,6 +87,16 @@
     Recovering,
     /// Not all, and the other agents cannot tell.
     Partial,
+    /// Not all, and all other agents have lost their tables at the same time.
+    Lost,
+}
+
+impl Tracking {
+    /// Returns whether the upstream may have flows that nobody can tell of.
+    #[must_use]
+    pub const fn is_partial(self) -> bool {
+        matches!(self, Self::Partial | Self::Lost)
+    }
 }
 
 /// First status report of the upstream after the start of the agent.
@@ -154,10 +164,13 @@
             let answered = !self.sources.is_empty() && self.sources.iter().all(|s| s.done);
             answered && !self.has_witness && !self.is_reliable()
         };
-        if self.is_running() && is_hopeless() {
-            return Tracking::Partial;
+        let is_lost = !self.has_witness && !self.has_predecessor;
+        match self.tracking {
+            Tracking::Recovering if is_hopeless() && is_lost => Tracking::Lost,
+            Tracking::Recovering if is_hopeless() => Tracking::Partial,
+            Tracking::Partial if is_lost => Tracking::Lost,
+            tracking => tracking,
         }
-        self.tracking
     }
 
     /// Returns whether flows are still being requested.
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -113,6 +113,9 @@
     Ask(Vec<NodeId>),
     /// Agents that do not know their flows; one of them may hand the packet to its upstream.
     Try(Vec<NodeId>),
+    /// Agents that have all lost their tables: one of their upstreams has the flow, and all of
+    /// them are given the packet.
+    TryAll(Vec<NodeId>),
     /// None: nothing new can be learned from another packet now.
     Nobody,
 }
@@ -285,6 +288,11 @@
         let waits = unheard.iter().any(|candidate| !candidate.gone);
         if !trials.is_empty() && !waits && search.trials() < search.max_trials(own) {
             Recipients::Try(nodes(&trials))
+        } else if !waits && search.is_lost_by_all(candidates) && !search.route.partial {
+            let lost = candidates
+                .iter()
+                .filter(|candidate| search.may_be_lost(candidate));
+            Recipients::TryAll(lost.map(|candidate| candidate.node).collect())
         } else if !unheard.is_empty() {
             Recipients::Ask(nodes(&unheard))
         } else {
@@ -337,7 +345,7 @@
     /// Records what an agent replied to a search, or that it withdraws an announcement.
     /// Forgets it if it was cached as the owner and says that it is not.
     pub fn record_reply(&mut self, node: NodeId, run: Incarnation, flow: &Flow, reply: Reply) {
-        let is_denied = !matches!(reply, Reply::Unknown { .. });
+        let is_denied = matches!(reply, Reply::NotOwned | Reply::Returned);
         let claim = self.claim(flow);
         if is_denied && claim.is_some_and(|claim| claim.owner.hop.node == node) {
             self.forget(flow);
@@ -494,7 +502,7 @@
     fn excludes(&self, candidate: &Candidate) -> bool {
         match self.reply(candidate) {
             Some(Reply::NotOwned | Reply::Returned) => true,
-            Some(Reply::Unknown { .. }) => self
+            Some(Reply::Unknown { .. } | Reply::Lost) => self
                 .opened
                 .is_some_and(|opened| opened > candidate.started + START_MARGIN),
             None => false,
@@ -512,7 +520,20 @@
 
     /// Returns whether an agent may hand a packet to its upstream.
     fn may_try(&self, candidate: &Candidate) -> bool {
-        self.reply(candidate) == Some(Reply::Unknown { trial: true })
+        let reply = self.reply(candidate);
+        matches!(reply, Some(Reply::Unknown { trial: true } | Reply::Lost))
+    }
+
+    /// Returns whether the upstream of an agent that has lost its table may have the flow.
+    fn may_be_lost(&self, candidate: &Candidate) -> bool {
+        !candidate.gone && self.reply(candidate) == Some(Reply::Lost)
+    }
+
+    /// Returns whether all agents have lost their tables, or know that they do not own the
+    /// flow because their upstreams have returned it.
+    fn is_lost_by_all(&self, candidates: &[Candidate]) -> bool {
+        let mut live = candidates.iter().filter(|candidate| !candidate.gone);
+        live.all(|candidate| matches!(self.reply(candidate), Some(Reply::Lost | Reply::Returned)))
     }
 
     /// Returns the number of upstreams that were tried, by request of any agent.
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -82,6 +82,9 @@
         /// Whether a packet may be handed to the upstream.
         trial: bool,
     },
+    /// It has lost its table at the same time as all agents that it knows. A packet may be
+    /// handed to its upstream.
+    Lost,
 }
 
 impl Reply {
@@ -92,6 +95,7 @@
             Self::NotOwned => "disown",
             Self::Returned => "reply_returned",
             Self::Unknown { .. } => "reply_unknown",
+            Self::Lost => "reply_lost",
         }
     }
 }
--- a/src/status.rs
+++ b/src/status.rs
@@ -166,6 +166,17 @@
         })
     }
 
+    /// Returns whether no upstream has reported yet.
+    #[must_use]
+    pub const fn is_unknown(&self) -> bool {
+        self.unknown
+    }
+
+    /// Records that no upstream is running, although none has deregistered.
+    pub const fn set_absent(&mut self) {
+        self.unknown = false;
+    }
+
     /// Clears the report of a failed upstream until its next report.
     pub fn clear(&mut self) {
         self.report = None;
--- a/src/steering/action.rs
+++ b/src/steering/action.rs
@@ -126,7 +126,10 @@
                 Mode::Trial => "try",
                 _ => "pass_on_unanswered",
             },
-            Self::Search(..) => "search",
+            Self::Search(header, _) => match header.mode {
+                Mode::Trial => "try_all",
+                _ => "search",
+            },
             Self::ReplySearch(_, _, reply) => reply.name(),
             Self::ReplyOwner(..) => "reply_owner",
             Self::Answer => "answer",
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -25,6 +25,9 @@
 /// the next digest.
 const SETTLE_QUARTERS: u64 = 10;
 
+/// Time without a new agent after which all agents of a service are taken to be back.
+const JOIN_TIMEOUT: Millis = Millis(1_500);
+
 /// Maximum number of searches that are answered later.
 const MAX_DEFERRED: usize = 4_096;
 
@@ -170,13 +173,15 @@
             return Action::ReplyOwner(requester, *flow, claim);
         }
         let may_own = self.may_own(context, flow);
-        let trial = context.tracking == Tracking::Partial;
+        let trial = context.tracking.is_partial();
         if may_own && trial && header.mode == Mode::Trial {
             return self.deliver_trial(header, *flow);
         }
         let is_live = |claim: Claim| !context.roster.is_gone(claim.owner.hop.node, context.now);
         let reply = if self.owners.is_absent(flow) {
             Reply::Returned
+        } else if may_own && context.tracking == Tracking::Lost {
+            Reply::Lost
         } else if may_own {
             Reply::Unknown { trial }
         } else if claim.is_some_and(is_live) {
@@ -202,7 +207,7 @@
                     let entry = self.entries[at];
                     self.notify(requester, &entry);
                 }
-                Err(_) if context.tracking == Tracking::Complete => {
+                Err(_) if !context.tracking.is_partial() => {
                     self.withdrawals.push((requester, flow));
                 }
                 Err(_) => {}
@@ -248,8 +253,17 @@
         header.requester = Some(own.hop);
         self.owners.hold(&flow, &header, bytes);
         let recipients = self.owners.recipients(own.service, &flow, &candidates);
-        if due && let Recipients::Ask(nodes) = recipients {
+        if due && let Recipients::Ask(nodes) = &recipients {
             header.mode = Mode::Search;
+            return Action::Search(header, nodes.clone());
+        }
+        let is_lost = self.has_lost_all(context, &flow, &candidates);
+        if due
+            && is_lost
+            && let Recipients::TryAll(mut nodes) = recipients
+        {
+            nodes.push(own.hop.node);
+            header.mode = Mode::Trial;
             return Action::Search(header, nodes);
         }
         if due && let Some(trial) = self.choose_trial(context, &header, &flow, &candidates) {
@@ -292,7 +306,7 @@
         let mut nodes = match self.owners.recipients(own.service, flow, candidates) {
             Recipients::Ask(_) => return None,
             Recipients::Try(nodes) => nodes,
-            Recipients::Nobody => Vec::new(),
+            Recipients::TryAll(_) | Recipients::Nobody => Vec::new(),
         };
         if self.may_try(context, flow) {
             nodes.push(own.hop.node);
@@ -309,11 +323,22 @@
     /// Returns whether a packet of a searched flow may be handed to the own upstream.
     fn may_try(&self, context: &Context<'_>, flow: &Flow) -> bool {
         let own = self.own_address;
-        context.tracking == Tracking::Partial
+        context.tracking.is_partial()
             && self.may_own(context, flow)
             && self.owners.may_try(own.service, own.hop.node, flow)
     }
 
+    /// Returns whether all agents of the service have lost their tables at the same time, and
+    /// all of them are back: none has joined lately. The upstream that has the flow is then
+    /// one of theirs.
+    fn has_lost_all(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
+        let is_settled = |candidate: &Candidate| {
+            candidate.gone || context.now.since(candidate.started) >= JOIN_TIMEOUT
+        };
+        let own_lost = context.tracking == Tracking::Lost || self.owners.is_absent(flow);
+        own_lost && self.may_reset(context) && candidates.iter().all(is_settled)
+    }
+
     /// Returns whether no agent of this service owns a searched flow.
     fn is_excluded(&self, context: &Context<'_>, flow: &Flow, candidates: &[Candidate]) -> bool {
         self.may_reset(context)
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -1315,3 +1315,70 @@
     let action = agent.inbound(header(&[2]), &syn(4_000), Millis(0));
     assert_eq!(action, Action::Drop(DropReason::Target));
 }
+
+// Guards against feeds that stay silent after all agents were killed at once: once all are back,
+// the upstream of one of them has the flow. Agents that join may have it as well.
+#[parameterized(
+    all_are_back = { 4_000, true },
+    an_agent_has_just_joined = { 2_100, false },
+)]
+fn packet_goes_to_all_upstreams_only_if_all_agents_have_lost_their_tables(now: u64, all: bool) {
+    let mut agent = Agent::new(&[]);
+    agent.tracking = Tracking::Lost;
+    let ready = Some(member::State::Ready);
+    for node in [2, 3, 4] {
+        let joined = entry(node, ready);
+        agent
+            .roster
+            .merge(&joined, roster::HEARTBEAT_PERIOD, true, Millis(2_000));
+    }
+    let heard = Millis(now);
+    agent
+        .roster
+        .merge(&balancer(), roster::HEARTBEAT_PERIOD, true, heard);
+    for round in 0..4 {
+        agent.inbound(header(&[1]), &data(4_000, 9), Millis(2_000 + round * 20));
+        for node in [2, 3, 4] {
+            let run = Incarnation(1);
+            agent
+                .flows
+                .record_reply(NodeId(node), run, &flow(4_000), Reply::Lost);
+        }
+        agent.decide(Millis(2_000 + round * 20), |flows, context| {
+            flows.continue_search(context, &flow(4_000))
+        });
+    }
+    agent.inbound(header(&[1]), &data(4_000, 9), Millis(now));
+    let action = agent.inbound(header(&[1]), &data(4_000, 9), Millis(now + 100));
+    let reached = asked(&action);
+    assert_eq!(!reached.is_empty(), all, "{action:?}");
+    if let Action::Search(header, _) = &action {
+        assert_eq!(header.mode, Mode::Trial);
+        assert!(reached.contains(&1));
+    }
+}
+
+// Guards against an upstream that looks full for seconds: the repetition of a request that was
+// answered before its flow was learned is no new request.
+#[test]
+fn repeated_request_of_a_learned_flow_is_no_load() {
+    let mut agent = Agent::new(&[2]);
+    agent.tracking = Tracking::Partial;
+    let request = data(4_000, ISN + 1);
+    agent.inbound(last_header(Mode::Trial), &request, Millis(0));
+    let end = request.seq + 10;
+    let response = Segment {
+        ack: end,
+        ..answer(4_000)
+    };
+    agent.outbound(&response, Millis(40));
+    let action = agent.inbound(header(&[1]), &request, Millis(50));
+    assert_eq!(action, Action::Deliver(0));
+    assert_eq!(agent.flows.load().busy(), 0);
+    let next = Segment {
+        seq: end,
+        ..request
+    };
+    agent.inbound(header(&[1]), &next, Millis(60));
+    assert_eq!(agent.flows.load().busy(), 1);
+}
