--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -268,7 +268,8 @@
     /// Returns to whom the next packet of a searched flow is sent.
     ///
     /// Agents that have replied that they do not own the flow are not asked again. Once all
-    /// others are gone or do not know, up to [`MAX_TRIALS`] upstreams are tried in all.
+    /// others are gone or do not know, up to [`MAX_TRIALS`] upstreams are tried in all, and then
+    /// all of them if every agent has lost its table.
     #[must_use]
     pub fn recipients(&self, own: ServiceId, flow: &Flow, candidates: &[Candidate]) -> Recipients {
         let Ok(at) = self.find_search(flow) else {
@@ -362,7 +363,8 @@
     /// Ends the searches that are decided: every candidate has replied that it does not own
     /// the flow or is gone, and the flow is in no other service of its route.
     ///
-    /// `own` is the own service, `is_certain` returns whether the own upstream is known not to have a flow.
+    /// `own` is the own service, `is_certain` returns whether the own upstream is known not to
+    /// have a flow.
     pub fn take_unowned(
         &mut self,
         own: ServiceId,
