--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -19,7 +19,7 @@
 const COMPLETE_AFTER: Millis = Millis(75_000);
 
 /// Number of times that an agent announces its shutdown, once per tick.
-const FAREWELLS: u32 = 3;
+const SHUTDOWN_NOTICES: u32 = 3;
 
 /// Settings of an agent.
 #[derive(Clone, Debug)]
@@ -90,7 +90,7 @@
     evacuated: bool,
     leaving: bool,
     /// Number of times that the shutdown has been announced.
-    farewells: u32,
+    shutdown_notices: u32,
     telemetry: telemetry::Telemetry,
     /// Time of the last input.
     now: Millis,
@@ -161,7 +161,7 @@
             slow_start: slow_start::SlowStart::new(settings.slow_start),
             evacuated: false,
             leaving: false,
-            farewells: 0,
+            shutdown_notices: 0,
             telemetry,
             now,
             outputs: Vec::new(),
@@ -197,7 +197,7 @@
     /// others have been told.
     #[must_use]
     pub const fn is_finished(&self) -> bool {
-        self.flows.load().busy() == 0 && self.farewells >= FAREWELLS
+        self.flows.load().busy() == 0 && self.shutdown_notices >= SHUTDOWN_NOTICES
     }
 
     /// Returns what has to be polled from the platform.
@@ -236,14 +236,14 @@
             self.outputs.push(Output::Probe);
         }
         self.peers.update_self(|me| me.leaving = true);
-        self.say_farewell();
+        self.announce_shutdown();
     }
 
     /// Announces the shutdown, and to other agents all owners of flows known here. Repeated a
     /// few times, because an agent that misses it may take the upstream for lost.
-    fn say_farewell(&mut self) {
-        if self.farewells < FAREWELLS {
-            self.farewells += 1;
+    fn announce_shutdown(&mut self) {
+        if self.shutdown_notices < SHUTDOWN_NOTICES {
+            self.shutdown_notices += 1;
             self.hand_over(Millis(0));
             self.peers.announce_self();
         }
@@ -377,7 +377,7 @@
         }
         self.peers.tick(now);
         if self.leaving {
-            self.say_farewell();
+            self.announce_shutdown();
         }
         self.recover_flows();
         let config = self.peers.config();
--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -25,7 +25,7 @@
 
 /// Time before the start of this agent from which another one must have been up to have been
 /// told of all flows.
-const WITNESS_AGE: Millis = Millis(6_000);
+const OLD_PEER_AGE: Millis = Millis(6_000);
 
 /// Time by which an upstream may start before its agent on a host that gets power again.
 const START_MARGIN: Millis = Millis(250);
@@ -130,7 +130,7 @@
     /// Agents that are asked, sorted by node.
     sources: Vec<Source>,
     /// Whether any agent has been up since well before this one.
-    has_witness: bool,
+    has_old_peer: bool,
     /// Whether any agent knew an earlier run of this one.
     has_predecessor: bool,
     /// Largest number of crashed agents that was reported.
@@ -151,7 +151,7 @@
             ended: None,
             first_report: None,
             sources: Vec::new(),
-            has_witness: false,
+            has_old_peer: false,
             has_predecessor: false,
             crashes: 0,
         }
@@ -160,14 +160,14 @@
     /// Returns what is known of the upstream's flows.
     #[must_use]
     pub fn tracking(&self) -> Tracking {
-        let is_hopeless = || {
+        let cannot_complete = || {
             let answered = !self.sources.is_empty() && self.sources.iter().all(|s| s.done);
-            answered && !self.has_witness && !self.is_reliable()
+            answered && !self.has_old_peer && !self.is_reliable()
         };
-        let is_lost = !self.has_witness && !self.has_predecessor;
+        let is_lost = !self.has_old_peer && !self.has_predecessor;
         match self.tracking {
-            Tracking::Recovering if is_hopeless() && is_lost => Tracking::Lost,
-            Tracking::Recovering if is_hopeless() => Tracking::Partial,
+            Tracking::Recovering if cannot_complete() && is_lost => Tracking::Lost,
+            Tracking::Recovering if cannot_complete() => Tracking::Partial,
             Tracking::Partial if is_lost => Tracking::Lost,
             tracking => tracking,
         }
@@ -230,7 +230,7 @@
         if source.done || source.incarnation != page.incarnation || source.after != page.after {
             return None;
         }
-        self.has_witness |= page.uptime > now + WITNESS_AGE;
+        self.has_old_peer |= page.uptime > now + OLD_PEER_AGE;
         self.has_predecessor |= page.knew_owner;
         self.crashes = self.crashes.max(page.crashes);
         let last = page.flows.last().map(|owned| owned.flow);
@@ -269,7 +269,7 @@
             let started_together = report.age <= report.uptime + START_MARGIN;
             report.seq <= MAX_FIRST_REPORT && started_together && !self.has_predecessor
         };
-        let known = self.has_witness && self.crashes <= MAX_CRASHES;
+        let known = self.has_old_peer && self.crashes <= MAX_CRASHES;
         known || self.first_report.is_some_and(is_new)
     }
 
