Tell an upstream without earlier flows by its unacknowledged reports

Cause: all processes were killed within 250 ms of the start of their upstreams, whose age minus the agent's uptime then looked like a loss of power, so that the agent took its table for complete.

An upstream repeats a report at once until it is acknowledged and pauses for a period after that. One that is younger than a period was never acknowledged, and an agent accepts no flows before it has acknowledged a report. The age alone decides now, with three quarters of a period as the bound.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -325,7 +325,7 @@
                 self.recovery.record_report(flow_recovery::FirstReport {
                     seq,
                     age,
-                    uptime: now,
+                    period: self.settings.report_period,
                 });
                 // A run that replaces a known one started after this agent, which therefore
                 // has seen all of its flows.
--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -27,9 +27,6 @@
 /// told of all flows.
 const OLD_PEER_AGE: Millis = Millis(6_000);
 
-/// Time by which an upstream may start before its agent on a host that gets power again.
-const START_MARGIN: Millis = Millis(250);
-
 /// Number of agents of the service that may have crashed without a loss of flows, as each
 /// flow that stays open is known to two agents besides its owner.
 const MAX_CRASHES: usize = 1;
@@ -106,8 +103,8 @@
     pub seq: u64,
     /// Age of the upstream according to the wall clock.
     pub age: Millis,
-    /// Time since the start of the agent.
-    pub uptime: Millis,
+    /// Period of the upstream's reports.
+    pub period: Millis,
 }
 
 /// Progress of the pages of one agent.
@@ -264,10 +261,14 @@
     }
 
     /// Returns whether no flow of the upstream can be unknown to all agents that were asked.
+    ///
+    /// An upstream repeats a report at once while it is not acknowledged, and pauses for a period
+    /// after that. One that is younger than a period has thus not been acknowledged by an earlier
+    /// run of the agent, which accepts no flows before.
     fn is_reliable(&self) -> bool {
         let is_new = |report: FirstReport| {
-            let started_together = report.age <= report.uptime + START_MARGIN;
-            report.seq <= MAX_FIRST_REPORT && started_together && !self.has_predecessor
+            let is_unanswered = report.age.0 < report.period.0 * 3 / 4;
+            report.seq <= MAX_FIRST_REPORT && is_unanswered && !self.has_predecessor
         };
         let known = self.has_old_peer && self.crashes <= MAX_CRASHES;
         known || self.first_report.is_some_and(is_new)
--- a/tests/agent_core.rs
+++ b/tests/agent_core.rs
@@ -6,7 +6,7 @@
     agent_core::{AgentCore, Output, Settings},
     clock::Millis,
     evacuation::Evacuations,
-    flow_recovery::Tracking,
+    flow_recovery::{self, Tracking},
     header::Hop,
     ident::{DomainId, Incarnation, NodeId, ServiceId},
     member,
@@ -16,6 +16,7 @@
     segment::{Codec, Segment},
     slow_start, status, telemetry,
 };
+use yare::parameterized;
 
 const SERVICE: &str = "ledger";
 const DOMAIN: &str = "north";
@@ -205,3 +206,52 @@
     let upstream = agent.roster().me().upstream.unwrap();
     assert_eq!(upstream.state, None);
 }
+
+/// Settles an agent that has heard of a balancer and of one other agent, which is as new.
+fn settle_beside_a_new_agent(agent: &mut AgentCore) {
+    let other = roster::Entry {
+        node: NodeId(77),
+        incarnation: Incarnation(1),
+        control: addr(7),
+        ..agent.roster().me().clone()
+    };
+    let beat = Message::Beat(Heartbeat {
+        entry: other,
+        period: Millis(400),
+        config: 0,
+        evacuations: Evacuations::default(),
+    });
+    for now in (50..1_500).step_by(50).map(Millis) {
+        agent.handle_message(addr(9), heartbeat(1, &[]), now);
+        agent.handle_message(addr(7), beat.clone(), now);
+        agent.tick(now);
+        let page = flow_recovery::Page {
+            node: NodeId(77),
+            incarnation: Incarnation(1),
+            after: None,
+            flows: Vec::new(),
+            more: false,
+            uptime: now,
+            knew_owner: false,
+            crashes: 0,
+        };
+        agent.handle_message(addr(7), Message::OwnedFlows(page), now);
+    }
+}
+
+// Guards against resets of open flows after a kill of all processes soon after their upstreams
+// had started: an upstream whose report was acknowledged may have flows.
+#[parameterized(
+    unacknowledged = { 4, 90, Tracking::Complete },
+    acknowledged = { 2, 1_210, Tracking::Lost },
+)]
+fn young_upstream_has_no_unknown_flows_unless_it_was_acknowledged(
+    seq: u64,
+    age: u64,
+    expected: Tracking,
+) {
+    let mut agent = agent(false);
+    agent.handle_report(report(100_000, seq, 0), Millis(100_000 + age), Millis(10));
+    settle_beside_a_new_agent(&mut agent);
+    assert_eq!(agent.tracking(), expected);
+}
