End the search for a flow that is recovered

Trace: it searched for the flow at 6.739 s, before the pages of its recovery came. The flow was then adopted and served, but the search stayed: all others had replied that they do not own it, and it ended in a reset when the recovery did, at 7.69 s.

A flow that is adopted or learned ends its search, and a tracked flow is never reset by one.

--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -189,9 +189,7 @@
     /// A claim that is not confirmed replaces a confirmed one only if it concerns a new flow
     /// with the same addresses.
     pub fn learn(&mut self, flow: Flow, claim: Claim, now: Millis) {
-        if let Ok(at) = self.find_search(&flow) {
-            self.searches.remove(at);
-        }
+        self.end_search(&flow);
         let entry = Redirect {
             flow,
             claim,
@@ -221,6 +219,13 @@
         now.since(probed) < SEARCH_INTERVAL
     }
 
+    /// Ends the search for the owner of a flow, which is known now.
+    pub fn end_search(&mut self, flow: &Flow) {
+        if let Ok(at) = self.find_search(flow) {
+            self.searches.remove(at);
+        }
+    }
+
     /// Removes the owner of a flow.
     pub fn forget(&mut self, flow: &Flow) {
         if let Ok(at) = self.find_redirect(flow) {
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -297,6 +297,7 @@
         self.entries.insert(at, entry);
         self.notify_homes(context, at);
         self.owners.record_present(&flow);
+        self.owners.end_search(&flow);
     }
 
     /// Handles a packet that the upstream returned. A SYN is forwarded to the next hop. A
--- a/src/steering/ownership.rs
+++ b/src/steering/ownership.rs
@@ -68,11 +68,13 @@
             return;
         }
         let origin = context.roster.me().domain;
-        let flows = flows.iter();
-        for owned in flows.filter(|owned| !self.owners.is_absent(&owned.flow)) {
-            if let Err(at) = self.find(&owned.flow) {
+        for owned in flows {
+            if let Err(at) = self.find(&owned.flow)
+                && !self.owners.is_absent(&owned.flow)
+            {
                 let entry = conntrack::Entry::from_peer(*owned, origin, context.now);
                 self.entries.insert(at, entry);
+                self.owners.end_search(&owned.flow);
             }
         }
     }
@@ -373,7 +375,10 @@
             |flow: &Flow| context.tracking.is_complete() || absent.binary_search(flow).is_ok();
         let service = self.own_address.service;
         let lost = self.owners.take_unowned(service, &candidates, is_certain);
-        actions.extend(lost.into_iter().map(|unowned| {
+        let untracked = lost
+            .into_iter()
+            .filter(|unowned| self.find(&unowned.flow).is_err());
+        actions.extend(untracked.map(|unowned| {
             let cause = ResetCause::Unowned(unowned.gone);
             Action::Reset(unowned.flow, unowned.ack, cause)
         }));
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -1398,3 +1398,23 @@
     let reply = Action::ReplySearch(hop(2), flow(4_001), Reply::NotOwned);
     assert_eq!(action, reply);
 }
+
+// Guards against a reset of an own flow that was searched for before it was recovered.
+#[test]
+fn recovered_flow_is_not_reset_by_an_earlier_search() {
+    let mut agent = Agent::new(&[2]);
+    agent.tracking = Tracking::Recovering;
+    agent.inbound(header(&[1]), &data(4_000, 9), Millis(50));
+    agent.not_owned(2);
+    let owned = OwnedFlow {
+        flow: flow(4_000),
+        confirmed: true,
+    };
+    agent.decide(Millis(60), |flows, context| flows.adopt(context, &[owned]));
+    agent.tracking = Tracking::Recovered;
+    let now = AFTER_SETTLING;
+    agent
+        .roster
+        .merge(&balancer(), roster::HEARTBEAT_PERIOD, true, now);
+    assert_eq!(agent.tick(now), []);
+}
