--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -17,16 +17,17 @@
     process::ExitCode,
 };
 
-/// Address of the only route.
-pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 8_443);
+/// Address of the only route. It stands in packets only; nothing is sent to it.
+pub const ROUTE: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(127, 198, 18, 1), 8_443);
 
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
-    let (Some(name), Some(program), Some(record)) = (args.next(), args.next(), args.next()) else {
-        eprintln!("usage: review-stand-ins-2 SCENARIO PROGRAM RECORD");
+    let args: [_; 4] = std::array::from_fn(|_| args.next());
+    let [Some(name), Some(trouble), Some(program), Some(record)] = args else {
+        eprintln!("usage: review-stand-ins-2 SCENARIO trouble|calm PROGRAM RECORD");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = trouble != "calm";
     let verdict = record::Record::create(&PathBuf::from(record))
         .map_err(|error| format!("cannot write the record: {error}"))
         .and_then(|record| {
