Reset the flows of a lost upstream only with a known sequence number

Cause: a flow that is adopted from another agent's claim has no sequence number, and its entry held 0 for "not known". reset_all sent it.

Change: the number is an option, filled by the first packet of either side. reset_all leaves flows without one to their caller's next packet, which is answered with a reset that has the number of that packet.

--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -58,8 +58,9 @@
     pub flow: Flow,
     /// Failure domain in which the caller's last packet arrived.
     pub origin: DomainId,
-    /// Last acknowledgement number of the caller, used as the sequence number of a reset.
-    pub ack: u32,
+    /// Sequence number for a reset of the flow: the last acknowledgement number of the caller, or
+    /// one of the upstream's. `None` while no packet has shown it.
+    pub reset_seq: Option<u32>,
     /// Agents that know the owner of the flow.
     pub homes: Homes,
     /// Whether the owner has been confirmed to them.
@@ -96,7 +97,7 @@
         Self {
             flow,
             origin,
-            ack: 0,
+            reset_seq: None,
             homes: [None; HOMES + 1],
             announced: false,
             opened: now,
@@ -118,7 +119,7 @@
     #[must_use]
     pub fn from_upstream(segment: &Segment, origin: DomainId, now: Millis) -> Self {
         Self {
-            ack: segment.seq,
+            reset_seq: Some(segment.seq),
             isn: segment.syn_ack.then_some(segment.seq),
             confirmed: !segment.syn_ack,
             fresh: false,
@@ -207,7 +208,7 @@
         if segment.syn {
             return;
         }
-        self.ack = segment.ack;
+        self.reset_seq = Some(segment.ack);
         let len = u32::try_from(segment.len).unwrap_or(0);
         let end = segment.seq.wrapping_add(len);
         let is_new_data = self.sent.is_none_or(|sent| is_after(end, sent));
@@ -238,6 +239,7 @@
         now: Millis,
     ) -> Option<Millis> {
         self.last = now;
+        self.reset_seq.get_or_insert(segment.seq);
         if segment.syn_ack {
             self.isn = Some(segment.seq);
             return None;
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -234,12 +234,14 @@
     }
 
     /// Drops all flows of a failed upstream and adds a reset for the caller of each open
-    /// one. The caller of a half-open one may have opened the flow elsewhere.
+    /// one. The caller of a half-open one may have opened the flow elsewhere, and that of one
+    /// whose sequence number is unknown is told when it sends its next packet.
     pub fn reset_all(&mut self, actions: &mut Vec<Action>) {
         let entries = self.entries.iter();
         let open = entries.filter(|entry| entry.is_open() && entry.is_confirmed());
+        let numbered = open.filter_map(|entry| Some((entry.flow, entry.reset_seq?)));
         let cause = ResetCause::UpstreamLost;
-        actions.extend(open.map(|entry| Action::Reset(entry.flow, entry.ack, cause)));
+        actions.extend(numbered.map(|(flow, seq)| Action::Reset(flow, seq, cause)));
         self.entries.clear();
         self.pending_syns.clear();
         self.failure = failure_detector::FailureDetector::default();
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -1418,3 +1418,35 @@
         .merge(&balancer(), roster::HEARTBEAT_PERIOD, true, now);
     assert_eq!(agent.tick(now), []);
 }
+
+// Guards against resets with a number that the caller does not take: a flow that was recovered
+// from another agent's claim has none until a packet of it passes.
+#[parameterized(
+    idle = { &[], &[] },
+    answered = { &[answer(4_000)], &[ISN + 1] },
+)]
+fn recovered_flow_of_a_lost_upstream_is_reset_only_with_a_known_number(
+    outbound: &[Segment],
+    expected: &[u32],
+) {
+    let mut agent = Agent::new(&[2]);
+    agent.tracking = Tracking::Recovering;
+    let owned = OwnedFlow {
+        flow: flow(4_000),
+        confirmed: true,
+    };
+    agent.decide(Millis(0), |flows, context| flows.adopt(context, &[owned]));
+    for segment in outbound {
+        agent.outbound(segment, Millis(10));
+    }
+    let mut out = Vec::new();
+    agent.flows.reset_all(&mut out);
+    let numbers: Vec<_> = out
+        .iter()
+        .map(|action| match action {
+            Action::Reset(_, seq, ResetCause::UpstreamLost) => *seq,
+            _ => panic!("{action:?}"),
+        })
+        .collect();
+    assert_eq!(numbers, expected);
+}
