Learn former services from the longest-running peers, and never from silence

Cause: a balancer that starts asked the agents of its own failure domain only, and took 1.5 s without a reply for "there are none", for good.

Change: the longest-running peers of any domain are asked, and each replies whether it knows all. Until one does, no agent resets a flow of the route. If all that were asked say that they do not know, the knowledge is lost. A fleet that starts for the first time knows that there are none. The state is logged when it changes.

--- a/src/agent_core.rs
+++ b/src/agent_core.rs
@@ -147,7 +147,10 @@
         let service = ident::ServiceId::of(&settings.service);
         let seed = me.incarnation.0;
         let own_address = service_hop(&me, service, settings.packets);
-        let peers = peer_sync::PeerSync::new(me, settings.seeds.clone(), seed, now);
+        let mut peers = peer_sync::PeerSync::new(me, settings.seeds.clone(), seed, now);
+        if settings.first_start {
+            peers.record_first_start();
+        }
         Self {
             codec,
             service,
--- a/src/balancer_loop.rs
+++ b/src/balancer_loop.rs
@@ -49,6 +49,8 @@
     pub grace: clock::Millis,
     /// Rate of the host's link in Mbit/s.
     pub link_mbps: f64,
+    /// Whether the whole fleet is started for the first time, so that no flows exist yet.
+    pub first_start: bool,
 }
 
 /// Event from the platform adapter.
@@ -173,6 +175,10 @@
     let (name, domain) = (&settings.name, &settings.domain);
     let me = roster::Entry::starting(name, domain, settings.control, None);
     let seed = me.incarnation.0;
+    let mut peers = peer_sync::PeerSync::new(me, settings.seeds.clone(), seed, clock.now());
+    if settings.first_start {
+        peers.record_first_start();
+    }
     Ok(BalancerLoop {
         codec,
         packet_socket,
@@ -180,7 +186,7 @@
         caller_port: settings.packets.port(),
         hash_seed: transport.hash_seed(),
         transport,
-        peers: peer_sync::PeerSync::new(me, settings.seeds.clone(), seed, clock.now()),
+        peers,
         tables: routing::Tables::default(),
         telemetry,
         clock,
--- a/src/former_services.rs
+++ b/src/former_services.rs
@@ -1,22 +1,39 @@
-//! Former services of routes, which a balancer that has just started requests from its peers:
+//! Former services of routes, which a node that has just started requests from its peers:
 //! the platform holds only the latest configuration, and open flows of earlier ones stay with
 //! the services that had them.
+//!
+//! A peer that does not reply says nothing about former services, and neither does one that
+//! started as lately as this node. The longest-running peers are asked, until one of them knows,
+//! or all of them have replied that they do not.
 
 use std::net::SocketAddrV4;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::Millis, ident::ServiceId};
+use crate::{clock::Millis, conntrack, ident::ServiceId};
 
 /// Maximum number of routes in one page, so that a datagram stays below 1,400 bytes.
 pub const MAX_ROUTES: usize = 16;
 
-/// Time after which a page that has not arrived is requested again, from another node.
+/// Number of peers that are asked.
+pub const MAX_SOURCES: usize = 8;
+
+/// Number of peers that are asked at a time.
+const MAX_REQUESTS: usize = 3;
+
+/// Time after which a page that has not arrived is requested again.
 const RETRY_INTERVAL: Millis = Millis(150);
 
-/// Time after the first configuration at which a node that got no answer stops asking.
+/// Time after which a peer that did not know is asked again.
+const REPEAT_INTERVAL: Millis = Millis(5_000);
+
+/// Minimum time after the first configuration at which a node gives up waiting for a peer that
+/// knows.
 const TIMEOUT: Millis = Millis(1_500);
 
+/// The same for a node that has heard only of its own failure domain.
+const DOMAIN_TIMEOUT: Millis = Millis(2_000);
+
 /// Former services of one route.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct FormerRoute {
@@ -42,56 +59,165 @@
     pub routes: Vec<FormerRoute>,
     /// Whether more routes follow.
     pub more: bool,
+    /// Whether the sender knows all former services.
+    #[serde(default)]
+    pub complete: bool,
+    /// Version of the sender's configuration.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// Live peer of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Address for messages.
+    pub address: SocketAddrV4,
+    /// Whether it is in another failure domain.
+    pub far: bool,
+}
+
+/// What a node knows of former services.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Knowledge {
+    /// Not all yet: peers are still being asked.
+    #[default]
+    Asking,
+    /// Not all, and the peers that were asked do not know either.
+    Lost,
+    /// All of them.
+    Complete,
+}
+
+/// Progress of the pages of one peer.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    address: SocketAddrV4,
+    after: Option<SocketAddrV4>,
+    requested: Option<Millis>,
+    /// Whether it has sent its last page, and is asked again only after a while.
+    answered: bool,
 }
 
-/// Progress of the request for former services.
+/// State of the requests for former services.
 #[derive(Clone, Debug, Default)]
 pub struct History {
-    /// Time at which the first configuration was activated.
+    knowledge: Knowledge,
+    /// Time at which the first configuration was active.
     since: Option<Millis>,
-    requested: Option<Millis>,
-    after: Option<SocketAddrV4>,
-    done: bool,
+    /// Peers that are asked, in order of their address.
+    sources: Vec<Source>,
 }
 
 impl History {
-    /// Records that a configuration is active.
-    pub fn start(&mut self, now: Millis) {
-        self.since.get_or_insert(now);
+    /// Returns what is known.
+    #[must_use]
+    pub const fn knowledge(&self) -> Knowledge {
+        self.knowledge
     }
 
-    /// Returns whether the former services are known, or nobody has told them in time.
-    #[must_use]
-    pub fn is_settled(&self, now: Millis) -> bool {
-        let is_late = |since| now.since(since) >= TIMEOUT;
-        self.done || self.since.is_some_and(is_late)
+    /// Records that the whole fleet starts for the first time: there are no former services but
+    /// those that this node sees itself.
+    pub const fn complete(&mut self) {
+        self.knowledge = Knowledge::Complete;
     }
 
-    /// Returns the request that is due, if any.
-    pub fn request(&mut self, now: Millis) -> Option<Request> {
-        let waits = self
-            .requested
-            .is_some_and(|at| now.since(at) < RETRY_INTERVAL);
-        if self.since.is_none() || self.is_settled(now) || waits {
-            return None;
+    /// Updates what is known, and returns the requests that are due, each with the peer to which
+    /// it is sent. `peers` are the live peers, longest-running first, once a configuration is
+    /// active.
+    pub fn update(&mut self, peers: &[Peer], now: Millis) -> Vec<(SocketAddrV4, Request)> {
+        let since = *self.since.get_or_insert(now);
+        if now.since(since) >= conntrack::IDLE_TIMEOUT {
+            self.knowledge = Knowledge::Complete;
+        }
+        if self.knowledge == Knowledge::Complete {
+            return Vec::new();
+        }
+        let peers = &peers[..peers.len().min(MAX_SOURCES)];
+        self.update_sources(peers);
+        if self.is_exhausted(peers, now.since(since)) {
+            self.knowledge = Knowledge::Lost;
         }
-        self.requested = Some(now);
-        let after = self.after;
-        Some(Request { after })
+        let mut requests = Vec::new();
+        for peer in peers {
+            if requests.len() < MAX_REQUESTS
+                && let Some(request) = self.request(peer.address, now)
+            {
+                requests.push((peer.address, request));
+            }
+        }
+        requests
     }
 
-    /// Records a page. Returns the request for the next one, if there is one.
-    pub fn receive(&mut self, page: &Page, now: Millis) -> Option<Request> {
-        if self.done || page.after != self.after {
+    /// Records a page. Returns the request for the next one, if there is one. `version` is that
+    /// of the own configuration: a peer that has an earlier one does not know all yet.
+    pub fn receive(
+        &mut self,
+        from: SocketAddrV4,
+        page: &Page,
+        version: u64,
+        now: Millis,
+    ) -> Option<Request> {
+        let found = self.find(from).ok()?;
+        let source = &mut self.sources[found];
+        if page.after != source.after {
             return None;
         }
         let last = page.routes.last().map(|route| route.address);
-        if !page.more || last <= page.after {
-            self.done = true;
-            return None;
+        if page.more && last > page.after {
+            source.after = last;
+            source.requested = Some(now);
+            return Some(Request { after: last });
         }
-        self.after = last;
-        self.requested = Some(now);
-        Some(Request { after: last })
+        source.after = None;
+        source.answered = page.version >= version;
+        if page.complete && page.version >= version {
+            self.knowledge = Knowledge::Complete;
+        }
+        None
+    }
+
+    /// Returns whether all peers that can be asked have replied, and none of them knew.
+    fn is_exhausted(&self, peers: &[Peer], waited: Millis) -> bool {
+        let has_far = peers.iter().any(|peer| peer.far);
+        let timeout = if has_far { TIMEOUT } else { DOMAIN_TIMEOUT };
+        let answered = self.sources.iter().all(|source| source.answered);
+        waited >= timeout && !self.sources.is_empty() && answered
+    }
+
+    fn request(&mut self, address: SocketAddrV4, now: Millis) -> Option<Request> {
+        let found = self.find(address).ok()?;
+        let source = &mut self.sources[found];
+        let interval = if source.answered {
+            REPEAT_INTERVAL
+        } else {
+            RETRY_INTERVAL
+        };
+        let waits = source.requested.is_some_and(|at| now.since(at) < interval);
+        (!waits).then(|| {
+            source.requested = Some(now);
+            let after = source.after;
+            Request { after }
+        })
+    }
+
+    fn update_sources(&mut self, peers: &[Peer]) {
+        let sources = peers.iter().map(|peer| {
+            let found = self.find(peer.address);
+            let known = found.ok().map(|at| self.sources[at]);
+            known.unwrap_or(Source {
+                address: peer.address,
+                after: None,
+                requested: None,
+                answered: false,
+            })
+        });
+        let mut sources: Vec<_> = sources.collect();
+        sources.sort_by_key(|source| source.address);
+        self.sources = sources;
+    }
+
+    fn find(&self, address: SocketAddrV4) -> Result<usize, usize> {
+        self.sources
+            .binary_search_by_key(&address, |source| source.address)
     }
 }
--- a/src/peer_sync.rs
+++ b/src/peer_sync.rs
@@ -206,7 +206,7 @@
             Message::WantEntries(services) => self.send_entries(from, &services, now),
             Message::Alive(entries) => self.receive_alive(&entries, now),
             Message::Ping => self.outbox.push((from, self.heartbeat())),
-            Message::WantFormer(request) => self.send_former(from, request, now),
+            Message::WantFormer(request) => self.send_former(from, request),
             Message::Former(page) => self.receive_former(from, &page, now),
             Message::Own { .. }
             | Message::Unowned { .. }
--- a/src/peer_sync/configuration.rs
+++ b/src/peer_sync/configuration.rs
@@ -6,7 +6,13 @@
 use rand::Rng;
 
 use super::{PeerSync, Scope};
-use crate::{clock::Millis, config_transfer, former_services, protocol::Message, roster, routing};
+use crate::{
+    clock::Millis,
+    config_transfer,
+    former_services::{self, Knowledge},
+    protocol::Message,
+    roster, routing,
+};
 
 /// Half heartbeat periods after the start of a node within which it learns of all others.
 const SETTLE_HALF_PERIODS: u64 = 5;
@@ -35,40 +41,62 @@
         true
     }
 
-    /// Returns whether this node knows the services that the routes had before, and has had
-    /// the time to learn of their agents.
+    /// Records that the whole fleet starts for the first time, so that no route has had other
+    /// services yet.
+    pub const fn record_first_start(&mut self) {
+        self.history.complete();
+    }
+
+    /// Returns whether this node knows the services that the routes had before, or nobody knows
+    /// them any more, and it has had the time to learn of their agents.
     #[must_use]
     pub fn knows_services(&self, now: Millis) -> bool {
         let settle_time = Millis(self.roster.period().0 * SETTLE_HALF_PERIODS / 2);
-        self.history.is_settled(now) && now >= settle_time
+        self.history.knowledge() != Knowledge::Asking && now >= settle_time
     }
 
-    /// Requests the former services of the routes from another node, if they are not known.
+    /// Requests the former services of the routes from other nodes, if they are not known.
     pub(super) fn request_former(&mut self, now: Millis) {
-        if self.config.is_none() {
+        if self.config.is_none() || self.history.knowledge() == Knowledge::Complete {
             return;
         }
-        self.history.start(now);
-        if let Some(request) = self.history.request(now)
-            && let Some(source) = self.choose_source(self.config_version())
-        {
-            self.outbox.push((source, Message::WantFormer(request)));
+        let before = self.history.knowledge();
+        let requests = self.history.update(&self.longest_running(), now);
+        self.log_history(before, now);
+        let requests = requests.into_iter();
+        let messages = requests.map(|(to, request)| (to, Message::WantFormer(request)));
+        self.outbox.extend(messages);
+    }
+
+    /// Returns the live peers, longest-running first.
+    fn longest_running(&self) -> Vec<former_services::Peer> {
+        let domain = self.roster.me().domain;
+        let peers = self.roster.peers().iter();
+        let live = peers.filter(|peer| peer.direct && !peer.silent);
+        let mut entries: Vec<_> = live.map(|peer| &peer.entry).collect();
+        entries.sort_by_key(|entry| entry.incarnation);
+        let peers = entries.into_iter().map(|entry| former_services::Peer {
+            address: entry.control,
+            far: entry.domain != domain,
+        });
+        peers.collect()
+    }
+
+    fn log_history(&self, before: Knowledge, now: Millis) {
+        let knowledge = self.history.knowledge();
+        if knowledge != before {
+            info!(
+                knowledge:? = knowledge, after_ms = now.0;
+                "state of the former services changed"
+            );
         }
     }
 
-    /// Sends a page of the former services of the routes, if this node knows them.
-    pub(super) fn send_former(
-        &mut self,
-        to: SocketAddrV4,
-        request: former_services::Request,
-        now: Millis,
-    ) {
-        if let Some(config) = self
-            .config
-            .as_ref()
-            .filter(|_| self.history.is_settled(now))
-        {
-            let page = config.former_page(request.after);
+    /// Sends a page of the former services of the routes, as far as this node knows them.
+    pub(super) fn send_former(&mut self, to: SocketAddrV4, request: former_services::Request) {
+        if let Some(config) = &self.config {
+            let complete = self.history.knowledge() == Knowledge::Complete;
+            let page = config.former_page(request.after, complete);
             self.outbox.push((to, Message::Former(page)));
         }
     }
@@ -80,7 +108,10 @@
         page: &former_services::Page,
         now: Millis,
     ) {
-        let next = self.history.receive(page, now);
+        let before = self.history.knowledge();
+        let version = self.config_version();
+        let next = self.history.receive(from, page, version, now);
+        self.log_history(before, now);
         if let Some(config) = &mut self.config
             && config.add_former(&page.routes)
         {
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -105,9 +105,14 @@
         self
     }
 
-    /// Returns the former services of the routes after an address, one page of them.
+    /// Returns the former services of the routes after an address, one page of them. `complete`
+    /// states whether these are all that the routes have.
     #[must_use]
-    pub fn former_page(&self, after: Option<SocketAddrV4>) -> former_services::Page {
+    pub fn former_page(
+        &self,
+        after: Option<SocketAddrV4>,
+        complete: bool,
+    ) -> former_services::Page {
         let start = self.routes.partition_point(|r| Some(r.address) <= after);
         let rest = self.routes[start..].iter();
         let with_former = rest.filter(|route| !route.former.is_empty());
@@ -124,6 +129,8 @@
             after,
             routes,
             more,
+            complete,
+            version: self.version,
         }
     }
 
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -253,3 +253,92 @@
         assert_eq!(route.former, [ServiceId(8)]);
     }
 }
+
+/// Runs the network while the routes move from service 8 to the one of `config`, version 6.
+fn move_routes(network: &mut Network) {
+    for node in &mut network.nodes {
+        node.record_first_start();
+    }
+    network.run_until(Millis(500));
+    let mut before = config(5);
+    for route in &mut before.routes {
+        route.targets[0].service = ServiceId(8);
+    }
+    network.nodes[0].apply_config(before);
+    network.run_until(Millis(2_500));
+    network.nodes[0].apply_config(config(6));
+    network.run_until(Millis(4_500));
+}
+
+/// Restarts nodes with later incarnations.
+fn restart(network: &mut Network, nodes: &[usize]) {
+    for at in nodes {
+        let mut me = network.nodes[*at].roster().me().clone();
+        me.incarnation = ident::Incarnation(me.incarnation.0 + 1);
+        me.change = 0;
+        let seeds = vec![addr(1), addr(21)];
+        network.nodes[*at] = peer_sync::PeerSync::new(me, seeds, 9, network.now);
+    }
+}
+
+fn knows_former(network: &Network, at: usize) -> bool {
+    let routes = &network.nodes[at].config().unwrap().routes;
+    let mut routes = routes.iter();
+    network.nodes[at].knows_services(network.now)
+        && routes.all(|route| route.former == [ServiceId(8)])
+}
+
+// Guards against resets of open flows by a balancer that starts together with all nodes of its
+// failure domain: that these do not know the former services does not mean that there are none.
+#[parameterized(
+    all_nodes_of_its_domain_have_restarted = { &[0, 1, 2, 3, 4], &[] },
+    nodes_of_its_domain_do_not_reply = { &[1], &[1, 3, 11, 12] },
+)]
+fn restarted_balancer_learns_former_services_from_another_domain(restarted: &[usize], cut: &[u16]) {
+    let mut network = network();
+    for (node, service) in [(21, None), (31, Some(SERVICE))] {
+        let entry = node_network::entry(node, 2, service);
+        let seeds = vec![addr(1)];
+        let node = peer_sync::PeerSync::new(entry, seeds, u64::from(node), Millis(0));
+        network.nodes.push(node);
+    }
+    move_routes(&mut network);
+    network.partitioned = cut.iter().map(|node| addr(*node)).collect();
+    restart(&mut network, restarted);
+    network.nodes[1].apply_config(config(6));
+    network.run_until(Millis(9_000));
+    assert!(knows_former(&network, 1));
+}
+
+// Guards against a balancer that takes the silence of its peers for the absence of former
+// services, for good.
+#[test]
+fn isolated_balancer_does_not_know_the_services_of_routes() {
+    let mut network = network();
+    move_routes(&mut network);
+    network.partitioned = vec![addr(2)];
+    restart(&mut network, &[1]);
+    network.nodes[1].apply_config(config(6));
+    network.run_until(Millis(12_000));
+    assert!(!network.nodes[1].knows_services(network.now));
+    network.partitioned.clear();
+    network.run_until(Millis(15_000));
+    assert!(knows_former(&network, 1));
+}
+
+// Guards against packets that wait for knowledge that nobody has any more.
+#[test]
+fn fleet_that_was_killed_at_once_ends_the_requests_for_former_services() {
+    let mut network = network();
+    move_routes(&mut network);
+    let agent = node_network::entry(31, 2, Some(SERVICE));
+    let agent = peer_sync::PeerSync::new(agent, vec![addr(1)], 31, Millis(0));
+    network.nodes.push(agent);
+    network.run_until(Millis(5_500));
+    restart(&mut network, &[0, 1, 2, 3, 4, 5]);
+    for node in &mut network.nodes {
+        node.apply_config(config(6));
+    }
+    network.run_until(Millis(8_000));
+    assert!(network.nodes[1].knows_services(network.now));
+}
