Keep claims to young flows while their agent is away, and repeat recovered ones

Cause: the homes forget a claim that is not confirmed after five seconds, for a live owner has confirmed or withdrawn it by then; an owner that was killed can do neither. The restarted agent adopted the flows, but repeated no claim.

Change: such a claim lapses only while the run that made it goes on. An agent repeats its claims to recovered flows every two seconds until it can confirm or withdraw them.

--- a/src/conntrack.rs
+++ b/src/conntrack.rs
@@ -155,6 +155,13 @@
         !self.announced && self.confirmed && self.is_open() && is_old
     }
 
+    /// Returns whether the owner of the flow cannot be confirmed yet: another agent knows only
+    /// that its SYN was accepted, by an earlier run.
+    #[must_use]
+    pub const fn awaits_evidence(&self) -> bool {
+        self.recovered && !self.confirmed && self.is_open()
+    }
+
     /// Returns whether the caller has completed the handshake with this upstream.
     #[must_use]
     pub const fn is_confirmed(&self) -> bool {
--- a/src/owner_cache.rs
+++ b/src/owner_cache.rs
@@ -10,6 +10,7 @@
 use crate::{
     clock::Millis,
     conntrack::{ENDED_TIMEOUT, IDLE_TIMEOUT},
+    header::Hop,
     ident::{Incarnation, NodeId, ServiceId},
     packet::Flow,
     protocol::{Header, Reply, RouteInfo, ServiceHop},
@@ -18,10 +19,14 @@
 /// Minimum interval between two searches for the owner of one flow.
 const SEARCH_INTERVAL: Millis = Millis(100);
 
-/// Time after which a claim that was not confirmed expires: a live owner has confirmed or
-/// withdrawn it by then.
+/// Time after which a claim that was not confirmed expires: an owner whose run goes on has
+/// confirmed, repeated or withdrawn it by then.
 const CLAIM_TIMEOUT: Millis = Millis(5_000);
 
+/// Interval at which an owner repeats the claims that it cannot confirm yet, short enough that one
+/// repetition may get lost.
+pub const CLAIM_INTERVAL: Millis = Millis(2_000);
+
 /// Age of a confirmed owner from which a claim of another agent replaces it. An earlier one
 /// concerns a late copy of the SYN, a later one another flow with the same addresses.
 const REUSE_AGE: Millis = Millis(3_000);
@@ -434,17 +439,15 @@
         }
     }
 
-    /// Removes expired owners, searches and absent flows.
-    pub fn expire(&mut self, now: Millis) {
+    /// Removes expired owners, searches and absent flows. `is_live` returns whether the run of an
+    /// agent that made a claim goes on: one that has ended could neither confirm nor withdraw it.
+    pub fn expire(&mut self, is_live: impl Fn(&Hop) -> bool, now: Millis) {
         self.absences
             .retain(|entry| now.since(entry.since) < IDLE_TIMEOUT);
         self.redirects.retain(|entry| {
-            let timeout = if entry.claim.confirmed {
-                IDLE_TIMEOUT
-            } else {
-                CLAIM_TIMEOUT
-            };
-            now.since(entry.since) < timeout
+            let age = now.since(entry.since);
+            let is_open = || entry.claim.confirmed || !is_live(&entry.claim.owner.hop);
+            age < CLAIM_TIMEOUT || (age < IDLE_TIMEOUT && is_open())
         });
         self.searches
             .retain(|entry| now.since(entry.last) < ENDED_TIMEOUT);
--- a/src/steering.rs
+++ b/src/steering.rs
@@ -77,6 +77,8 @@
     deferred: Vec<(Hop, Flow)>,
     /// Roster revision for which the homes were determined.
     homes_revision: Option<u64>,
+    /// Time at which the claims to recovered flows were repeated.
+    claims_at: Option<Millis>,
     service_times: Vec<Millis>,
 }
 
@@ -97,6 +99,7 @@
             withdrawals: Vec::new(),
             deferred: Vec::new(),
             homes_revision: None,
+            claims_at: None,
             service_times: Vec::new(),
         }
     }
@@ -220,6 +223,7 @@
         self.expire(context);
         self.update_homes(context);
         self.confirm_flows(context);
+        self.repeat_claims(context);
         self.answer_deferred(context);
         self.admit_waiting(context, actions);
         self.refuse_expired(context, actions);
@@ -389,7 +393,11 @@
         let known = expired.filter(|entry| !entry.is_confirmed() || entry.announced);
         let withdrawals = known.flat_map(|entry| announcements::announced_homes(context, &entry));
         self.withdrawals.extend(withdrawals);
-        self.owners.expire(context.now);
+        let is_live = |owner: &Hop| {
+            let peer = context.roster.find(owner.node);
+            peer.is_some_and(|peer| !peer.silent && peer.entry.incarnation == owner.incarnation)
+        };
+        self.owners.expire(is_live, context.now);
     }
 
     /// Removes a flow that the upstream did not accept, and withdraws its announcement.
--- a/src/steering/announcements.rs
+++ b/src/steering/announcements.rs
@@ -10,7 +10,7 @@
     clock::Millis,
     conntrack,
     header::Hop,
-    owner_cache::Claim,
+    owner_cache::{CLAIM_INTERVAL, Claim},
     packet::Flow,
     protocol::{MAX_FLOWS, Message},
     roster,
@@ -74,6 +74,22 @@
         }
     }
 
+    /// Repeats the claims to recovered flows that cannot be confirmed yet, so that their homes
+    /// still know them if this agent ends again.
+    pub(super) fn repeat_claims(&mut self, context: &mut Context<'_>) {
+        let is_due = |at| context.now.since(at) >= CLAIM_INTERVAL;
+        if !self.claims_at.is_none_or(is_due) {
+            return;
+        }
+        self.claims_at = Some(context.now);
+        for at in 0..self.entries.len() {
+            if self.entries[at].awaits_evidence() {
+                self.entries[at].homes = conntrack::Homes::default();
+                self.notify_homes(context, at);
+            }
+        }
+    }
+
     /// Queues announcements of a flow to its homes that have not been notified.
     pub(super) fn notify_homes(&mut self, context: &mut Context<'_>, at: usize) {
         let mut entry = self.entries[at];
--- a/tests/steering.rs
+++ b/tests/steering.rs
@@ -1450,3 +1450,70 @@
         .collect();
     assert_eq!(numbers, expected);
 }
+
+/// Adopts flow 4,000 from a claim that was not confirmed.
+fn adopt_unconfirmed(agent: &mut Agent) {
+    agent.tracking = Tracking::Recovering;
+    let owned = OwnedFlow {
+        flow: flow(4_000),
+        confirmed: false,
+    };
+    agent.decide(Millis(0), |flows, context| flows.adopt(context, &[owned]));
+    agent.tracking = Tracking::Partial;
+}
+
+// Guards against a recovered flow that nobody knows any more when its agent is killed again: its
+// homes forget a claim that is neither confirmed nor repeated.
+#[test]
+fn claim_to_an_idle_recovered_flow_is_repeated() {
+    let mut agent = Agent::new(&[2, 3]);
+    adopt_unconfirmed(&mut agent);
+    let mut last = Millis(0);
+    for now in (100..20_000).step_by(100).map(Millis) {
+        agent.tick(now);
+        let is_claim = |(_, message): &(_, Message)| matches!(message, Message::Own { .. });
+        if agent.flows.take_notices().iter().any(is_claim) {
+            last = now;
+        }
+        assert!(now.since(last) < Millis(2_500), "no claim since {last:?}");
+    }
+}
+
+// Guards against homes that forget a young flow while its agent is away: the run that claimed it
+// has ended without a word, and can neither confirm nor withdraw the claim.
+#[parameterized(
+    goes_on = { true, 1, false },
+    is_silent = { false, 1, true },
+    has_restarted = { true, 2, true },
+)]
+fn unconfirmed_claim_is_forgotten_only_if_the_run_of_its_owner(
+    heard: bool,
+    incarnation: u64,
+    kept: bool,
+) {
+    let mut agent = Agent::new(&[2, 3, 4]);
+    let owner = service_hop(2);
+    agent
+        .flows
+        .learn_owners(owner, &[flow(4_000)], false, Millis(0));
+    for now in (0..6_000).step_by(400).map(Millis) {
+        let peer = |node| entry(node, Some(member::State::Ready));
+        for node in [3, 4] {
+            agent
+                .roster
+                .merge(&peer(node), roster::HEARTBEAT_PERIOD, true, now);
+        }
+        if heard {
+            let owner = roster::Entry {
+                incarnation: Incarnation(incarnation),
+                ..peer(2)
+            };
+            agent
+                .roster
+                .merge(&owner, roster::HEARTBEAT_PERIOD, true, now);
+        }
+        agent.roster.tick(now);
+        agent.tick(now);
+    }
+    assert_eq!(agent.flows.redirects() == 1, kept);
+}
