Reset a stray only after several queries that could reach its owner

Cause: an agent that has just started queried for the owner of a stray when it knew no other agent. The convergence time ran from that packet, so the next one, seconds later, was answered with a reset without a second query.

Change: agents that were not known before are asked anew for all strays, and a reset needs three unanswered queries besides the convergence time.

Measured: stray_is_searched_for_anew_among_agents_that_were_not_known and stray_is_not_reset_before_several_queries_were_unanswered failed before and pass.

--- a/src/bin/cassiacross-agent/control.rs
+++ b/src/bin/cassiacross-agent/control.rs
@@ -140,7 +140,7 @@
     let service = ident::ServiceId::of(&member.service);
     mutex::lock(&shared.flows)
         .table
-        .retain_owners(service, &hops);
+        .update_agents(service, &hops);
     let announcement = mutex::lock(&shared.upstream).announcement.clone();
     if let Some(announcement) = announcement {
         shared.configure_relay(&announcement);
--- a/src/flow.rs
+++ b/src/flow.rs
@@ -20,6 +20,10 @@
 /// Minimum interval between two queries for the owner of one flow.
 pub const OWNER_QUERY_INTERVAL: Millis = Millis(100);
 
+/// Minimum number of queries for the owner of a flow that go unanswered before it is reset: a
+/// query or its answer may get lost.
+const MIN_QUERIES: u32 = 3;
+
 /// Time after its last packet after which a stray is removed.
 pub const STRAY_TIMEOUT: Millis = Millis(60_000);
 
@@ -63,6 +67,8 @@
     pub last: Millis,
     /// Time of the last query for its owner.
     pub asked: Millis,
+    /// Number of queries for its owner.
+    pub queries: u32,
 }
 
 /// Flow table of an agent: the flows that it owns, its redirects and its strays, each list
@@ -72,6 +78,8 @@
     owned: Vec<Owned>,
     redirects: Vec<Redirect>,
     strays: Vec<Stray>,
+    /// Agents of the service that are asked for the owners of strays.
+    agents: Vec<Hop>,
 }
 
 /// State of the agent that a decision depends on.
@@ -204,9 +212,14 @@
         remove(&mut self.strays, &flow, |entry| &entry.flow);
     }
 
-    /// Removes the redirects of `service` to owners that are not in `live`, which is
-    /// sorted by node.
-    pub fn retain_owners(&mut self, service: ServiceId, live: &[Hop]) {
+    /// Sets the live agents of `service`, sorted by node, and removes the redirects to owners
+    /// that are not among them. An agent that was not known before may own any stray, so all
+    /// strays are searched for anew.
+    pub fn update_agents(&mut self, service: ServiceId, live: &[Hop]) {
+        if live.iter().any(|hop| !self.agents.contains(hop)) {
+            self.strays.clear();
+        }
+        self.agents = live.to_vec();
         let is_live = |owner: &Hop| {
             live.binary_search_by_key(&owner.node, |hop| hop.node)
                 .is_ok_and(|index| live[index].incarnation == owner.incarnation)
@@ -288,19 +301,21 @@
                     first: now,
                     last: now,
                     asked: now,
+                    queries: 1,
                 };
                 insert_or_replace(&mut self.strays, entry, |entry| &entry.flow);
             }
             return Action::Ask;
         };
         stray.last = now;
-        if now.since(stray.first) > convergence {
+        if now.since(stray.first) > convergence && stray.queries >= MIN_QUERIES {
             return Action::Reset;
         }
         if now.since(stray.asked) < OWNER_QUERY_INTERVAL {
             return Action::Drop(Reason::Stray);
         }
         stray.asked = now;
+        stray.queries += 1;
         Action::Ask
     }
 }
--- a/tests/flow.rs
+++ b/tests/flow.rs
@@ -181,6 +181,37 @@
     assert_eq!(decide(CONVERGENCE + Millis(1)), Action::Reset);
 }
 
+// Guards against a reset of an open flow by an agent that asked for its owner once, when it had
+// just started and knew no other agent, and again by none of the flow's later packets.
+#[test]
+fn stray_is_searched_for_anew_among_agents_that_were_not_known() {
+    let mut table = flow::Table::default();
+    let decide = |table: &mut flow::Table, at| table.decide(&local(), &header(&[]), &data(1), at);
+    for at in [0, 100, 200] {
+        assert_eq!(decide(&mut table, Millis(at)), Action::Ask);
+    }
+    table.update_agents(SERVICE, &[hop(1), hop(2)]);
+    let later = CONVERGENCE + Millis(1);
+    assert_eq!(decide(&mut table, later), Action::Ask);
+    table.update_agents(SERVICE, &[hop(1), hop(2)]);
+    for at in [100, 200] {
+        assert_eq!(decide(&mut table, later + Millis(at)), Action::Ask);
+    }
+    let end = later + later;
+    assert_eq!(decide(&mut table, end), Action::Reset);
+}
+
+// Guards against a reset of an open flow after the loss of one query.
+#[test]
+fn stray_is_not_reset_before_several_queries_were_unanswered() {
+    let mut table = flow::Table::default();
+    let mut decide = |at| table.decide(&local(), &header(&[]), &data(1), at);
+    for at in [0, 5_000, 5_200] {
+        assert_eq!(decide(Millis(at)), Action::Ask);
+    }
+    assert_eq!(decide(Millis(5_400)), Action::Reset);
+}
+
 /// A packet that was already forwarded must not be forwarded again, or two agents with stale
 /// redirects would send it back and forth.
 #[test]
