--- a/src/flow_recovery.rs
+++ b/src/flow_recovery.rs
@@ -272,7 +272,8 @@
         true
     }
 
-    /// Returns whether no flow of the upstream can be unknown to all agents that were asked.
+    /// Returns whether no flow of the upstream can be unknown to all agents that were asked: the
+    /// last run handed over its flows, or there was none and the upstream is new.
     ///
     /// An upstream repeats a report at once while it is not acknowledged, and pauses for a period
     /// after that. One that is younger than a period has thus not been acknowledged by an earlier
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -151,7 +151,7 @@
     pub previous: Option<PreviousRun>,
 }
 
-/// How a former run of a node ended.
+/// How a former run of a node ended, in the order of how much may be lost with it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum PreviousRun {
     /// It announced its shutdown.
--- a/tests/peer_sync.rs
+++ b/tests/peer_sync.rs
@@ -270,7 +270,7 @@
     network.run_until(Millis(4_500));
 }
 
-/// Restarts nodes with later incarnations.
+/// Restarts nodes with later incarnations. Balancer 2 reads the configuration from the platform.
 fn restart(network: &mut Network, nodes: &[usize]) {
     for at in nodes {
         let mut me = network.nodes[*at].roster().me().clone();
@@ -279,6 +279,7 @@
         let seeds = vec![addr(1), addr(21)];
         network.nodes[*at] = peer_sync::PeerSync::new(me, seeds, 9, network.now);
     }
+    network.nodes[1].apply_config(config(6));
 }
 
 fn knows_former(network: &Network, at: usize) -> bool {
@@ -305,7 +306,6 @@
     move_routes(&mut network);
     network.partitioned = cut.iter().map(|node| addr(*node)).collect();
     restart(&mut network, restarted);
-    network.nodes[1].apply_config(config(6));
     network.run_until(Millis(9_000));
     assert!(knows_former(&network, 1));
 }
@@ -318,7 +318,6 @@
     move_routes(&mut network);
     network.partitioned = vec![addr(2)];
     restart(&mut network, &[1]);
-    network.nodes[1].apply_config(config(6));
     network.run_until(Millis(12_000));
     assert!(!network.nodes[1].knows_services(network.now));
     network.partitioned.clear();
